--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := teaseldock teaseldock-edge teaseldock-balancer teaseldock-agent
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench bench-check capacity report clean
+
+$(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	@$(BIN)/python -m standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/black -q --check packages tests bench standins examples
+	$(BIN)/flake8 packages tests bench standins examples
+
+format: $(STAMP)
+	$(BIN)/black -q packages tests bench standins examples
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+bench-check: $(STAMP)
+	$(BIN)/python -m bench --check
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+report: $(STAMP)
+	$(BIN)/python -m bench.report
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/teaseldock-agent/teaseldock_agent/command.py
@@ -0,0 +1,19 @@
+"""Start ``teaseldock-agent``."""
+
+from __future__ import annotations
+
+import sys
+
+from teaseldock_agent import application
+from teaseldock_edge import command_line
+
+SUMMARY = 'Process of teaseldock in the slot beside a backend server.'
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return the exit code."""
+    return command_line.main('agent', SUMMARY, application.AgentProgram, argv)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/teaseldock-balancer/teaseldock_balancer/application.py
@@ -0,0 +1,87 @@
+"""Pass packets from the fabric to the agents that own their buckets."""
+
+from __future__ import annotations
+
+import collections
+import random
+import time
+import typing
+
+from teaseldock import balancer
+from teaseldock import exceptions
+from teaseldock import membership
+from teaseldock import proxy_header
+from teaseldock_edge import program
+from teaseldock_edge import sockets
+
+
+class BalancerProgram(program.Program):
+    """The edge of a balancer."""
+
+    kind = 'balancer'
+
+    def __init__(self, values: dict[str, typing.Any]) -> None:
+        """Build all parts.
+
+        :param values: checked settings, by name.
+        """
+        self._balancer = balancer.Balancer(
+            own=program.own_member(values, membership.ROLE_BALANCER),
+            hash_key=values['hash-key'][0],
+            randomness=random.Random(),
+            now=time.monotonic(),
+        )
+        super().__init__(values, self._balancer)
+        self._seal_key = self._keys[0]
+        self._route = self._balancer.router.route
+        self._passed: collections.Counter[str] = collections.Counter()
+        self._outside = sockets.DatagramSocket(
+            self.on_datagram, place='--listen'
+        )
+
+    async def start(self) -> None:
+        """Open the addresses and begin."""
+        self._outside.start(bind=self._values['listen'])
+        await super().start()
+
+    async def close(self) -> None:
+        """Close the addresses."""
+        self._outside.close()
+        await super().close()
+
+    def on_datagram(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Pass one packet from the fabric on, or drop and count it."""
+        try:
+            flow_key, payload = proxy_header.read_plain(datagram)
+        except exceptions.HeaderError as error:
+            self.count_drop(f'from_fabric_{error.place}')
+            return
+        if not self._node.ready:
+            self.count_drop('not_ready')
+            return
+        route = self._route(flow_key)
+        if route is None:
+            return
+        self._passed['packets'] += 1
+        self._peer.send(
+            proxy_header.seal(
+                flow_key, route.tlv, payload, key=self._seal_key
+            ),
+            route.address,
+        )
+
+    def on_packet(self, packet: proxy_header.Packet, now: float) -> None:
+        """Drop packets between agents; none is meant for a balancer."""
+        self.count_drop('packet_for_agent')
+
+    def may_stop(self, left_at: float, now: float) -> bool:
+        """Tell whether the fabric has had time to turn away."""
+        return now - left_at >= self._values['linger']
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return figures for the status page and the metrics."""
+        figures = super().status()
+        figures['packets_passed'] = self._passed['packets']
+        figures['fabric_socket'] = dict(self._outside.counters)
+        figures.update(self._balancer.status(time.monotonic()))
+        return figures
--- /dev/null
+++ b/packages/teaseldock-edge/teaseldock_edge/admin.py
@@ -0,0 +1,133 @@
+"""Serve metrics, status and the audit trail to operators."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import prometheus_client
+from prometheus_client import core
+from tornado import httpserver
+from tornado import web
+
+from teaseldock import exceptions
+from teaseldock import flow
+
+Status = typing.Callable[[], dict[str, typing.Any]]
+
+
+class StatusCollector:
+    """Turn the numbers of a status page into metrics at each scrape."""
+
+    def __init__(self, status: Status, *, program: str) -> None:
+        """Read ``status`` at each scrape.
+
+        :param program: ``balancer`` or ``agent``, first word of the names.
+        """
+        self._status = status
+        self._program = program
+
+    def collect(self) -> typing.Iterator[core.Metric]:
+        """Yield one gauge or counter for each number."""
+        for name, value in _numbers('', self._status()):
+            metric = f'teaseldock_{self._program}_{name}'
+            yield core.GaugeMetricFamily(metric, name, value=value)
+
+
+def _numbers(
+    prefix: str, value: typing.Any
+) -> typing.Iterator[tuple[str, float]]:
+    if isinstance(value, (int, float)):
+        yield prefix, float(value)
+    elif isinstance(value, dict):
+        for key, item in value.items():
+            name = str(key).replace('-', '_').replace('/', '_')
+            parts = [part for part in (prefix, name) if part]
+            yield from _numbers('_'.join(parts), item)
+    elif isinstance(value, list):
+        for item in value:
+            if isinstance(item, dict) and 'service' in item:
+                service = str(item['service']).replace('-', '_')
+                yield from _numbers(f'{prefix}_{service}', item)
+
+
+class _PageHandler(web.RequestHandler):
+    def initialize(self, page: typing.Callable[..., typing.Any]) -> None:
+        self._page = page
+
+    def get(self) -> None:
+        arguments = {
+            name: self.get_argument(name) for name in self.request.arguments
+        }
+        try:
+            content = self._page(**arguments)
+        except (TypeError, ValueError) as error:
+            self.set_status(400)
+            self.write(f'{error}\n')
+            return
+        if isinstance(content, bytes):
+            self.set_header('Content-Type', 'text/plain; version=0.0.4')
+            self.write(content)
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.write(json.dumps(content, indent=1) + '\n')
+
+
+class _ReadyHandler(web.RequestHandler):
+    def initialize(self, ready: typing.Callable[[], bool]) -> None:
+        self._ready = ready
+
+    def get(self) -> None:
+        if not self._ready():
+            self.set_status(503)
+        self.write('ready\n' if self._ready() else 'not ready\n')
+
+
+class AdminServer:
+    """The admin address of one process."""
+
+    def __init__(
+        self,
+        *,
+        program: str,
+        status: Status,
+        audit: typing.Callable[[], list[typing.Any]],
+        explain: typing.Callable[..., typing.Any],
+        ready: typing.Callable[[], bool],
+    ) -> None:
+        """Prepare the pages; nothing is served before :meth:`start`."""
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(StatusCollector(status, program=program))
+
+        def metrics() -> bytes:
+            return prometheus_client.generate_latest(registry)
+
+        application = web.Application(
+            [
+                ('/metrics', _PageHandler, {'page': metrics}),
+                ('/status', _PageHandler, {'page': status}),
+                ('/audit', _PageHandler, {'page': audit}),
+                ('/explain', _PageHandler, {'page': explain}),
+                ('/ready', _ReadyHandler, {'ready': ready}),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = httpserver.HTTPServer(application)
+
+    def start(self, endpoint: flow.Endpoint) -> None:
+        """Serve.
+
+        :raises StartError: if the address can't be had.
+        """
+        try:
+            self._server.listen(endpoint.port, endpoint.host)
+        except OSError as error:
+            raise exceptions.StartError(
+                '--admin',
+                f'{endpoint}: {error.strerror}',
+                remedy='free the address or give another one',
+            ) from error
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.stop()
--- /dev/null
+++ b/packages/teaseldock-edge/teaseldock_edge/program.py
@@ -0,0 +1,269 @@
+"""Run the decisions of one process: what balancers and agents share."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import signal
+import time
+import typing
+
+import logbook
+
+from teaseldock import configuration
+from teaseldock import exceptions
+from teaseldock import flow
+from teaseldock import membership
+from teaseldock import messages
+from teaseldock import node
+from teaseldock import proxy_header
+from teaseldock import wire
+from teaseldock_edge import admin
+from teaseldock_edge import documents_exchange
+from teaseldock_edge import platform_client
+from teaseldock_edge import sockets
+from teaseldock_edge import traffic
+
+LOG = logbook.Logger('program')
+
+#: Seconds between two ticks of the decisions.
+TICK_S = 0.05
+#: Seconds between two greetings while no peer has answered.
+GREET_S = 1.0
+
+
+class Program(abc.ABC):
+    """Carry datagrams, time and documents to decisions, and actions out."""
+
+    kind = ''
+
+    def __init__(
+        self, values: dict[str, typing.Any], decisions: node.Node
+    ) -> None:
+        """Build all parts; nothing is opened before :meth:`start`.
+
+        :param values: checked settings, by name.
+        """
+        self._values = values
+        self._node = decisions
+        self._keys: tuple[bytes, ...] = values['seal-keys']
+        self._traffic = traffic.Traffic(time.monotonic())
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._leaving = False
+        self._greeted_at = 0.0
+        self._dropped: dict[str, int] = {}
+        self._peer = sockets.DatagramSocket(self._on_peer, place='--peer')
+        self._admin = admin.AdminServer(
+            program=self.kind,
+            status=self.status,
+            audit=self._audit,
+            explain=self._explain,
+            ready=lambda: self._node.ready and not self._leaving,
+        )
+        self._documents = documents_exchange.DocumentsExchange(
+            decisions,
+            keys=self._keys,
+            offer=self._offer,
+            count=self._count,
+        )
+        self._platform = platform_client.PlatformClient(
+            values['platform'],
+            decisions,
+            offer=self._offer,
+            take_list=self._take_list,
+            list_interval_s=values['list-interval'],
+            start_spread_s=values['start-spread'],
+        )
+
+    @abc.abstractmethod
+    def on_packet(self, packet: proxy_header.Packet, now: float) -> None:
+        """Handle a packet from another process."""
+
+    @abc.abstractmethod
+    def may_stop(self, left_at: float, now: float) -> bool:
+        """Tell whether a leaving process may stop now."""
+
+    def perform_other(self, action: messages.Action, now: float) -> None:
+        """Carry out an action that only one kind of program knows."""
+        raise TypeError(f'no edge for {type(action).__name__}')
+
+    def on_tick(self, now: float) -> None:
+        """Do what only one kind of program does at each tick."""
+
+    async def start(self) -> None:
+        """Open the addresses and begin."""
+        self._peer.start(bind=self._values['peer'])
+        self._documents.start(self._values['peer'])
+        self._admin.start(self._values['admin'])
+        self._platform.start()
+        self._spawn(self._tick_forever())
+        LOG.info('started', program=self.kind, name=self._values['name'])
+
+    async def close(self) -> None:
+        """Close the addresses."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._platform.close()
+        self._documents.close()
+        self._admin.close()
+        self._peer.close()
+        LOG.info('stopped', program=self.kind, name=self._values['name'])
+
+    async def run(self) -> None:
+        """Start, serve until a signal ends it, close."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.leave)
+        await self.start()
+        await self._stopping.wait()
+        await self.close()
+
+    def leave(self) -> None:
+        """Begin a graceful stop; a second call changes nothing."""
+        if self._leaving:
+            return
+        self._leaving = True
+        LOG.info('leaving', name=self._values['name'])
+        self._spawn(self._leave())
+
+    async def _leave(self) -> None:
+        left_at = time.monotonic()
+        self.perform(self._node.leave(left_at))
+        limit = left_at + self._values['stop-limit']
+        while time.monotonic() < limit:
+            if self.may_stop(left_at, time.monotonic()):
+                break
+            await asyncio.sleep(TICK_S)
+        else:
+            LOG.warning('stop limit reached', seconds=limit - left_at)
+        self._stopping.set()
+
+    def _spawn(self, work: typing.Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now = time.monotonic()
+            self.perform(self._node.tick(now))
+            self.on_tick(now)
+            self._greet(now)
+            self._log_changes()
+            await asyncio.sleep(TICK_S)
+
+    def _greet(self, now: float) -> None:
+        if self._node.members.fresh or now - self._greeted_at < GREET_S:
+            return
+        self._greeted_at = now
+        self.perform(self._node.introduce(self._values['peers'], now))
+
+    def _log_changes(self) -> None:
+        self._node.note_members(time.time())
+        for record in self._node.trail.drain():
+            LOG.info('change', **record._asdict())
+
+    def _count(self, direction: str, message: object, size: int) -> None:
+        self._traffic.count(direction, message, size, time.monotonic())
+
+    def count_drop(self, reason: str) -> None:
+        """Count a datagram that was dropped."""
+        self._dropped[reason] = self._dropped.get(reason, 0) + 1
+
+    def _on_peer(self, datagram: bytes, address: tuple[str, int]) -> None:
+        now = time.monotonic()
+        try:
+            if proxy_header.is_header(datagram):
+                packet = proxy_header.read_internal(datagram, keys=self._keys)
+                self.on_packet(packet, now)
+                return
+            message = wire.unpack(datagram, keys=self._keys)
+        except exceptions.TeaseldockError as error:
+            self.count_drop(f'{error.code.lower()}_{error.place}')
+            return
+        self._traffic.count('received', message, len(datagram), now)
+        self.perform(self._node.on_message(message, now))
+
+    def _offer(self, documents: list[configuration.Document]) -> None:
+        now = time.monotonic()
+        self.perform(self._node.offer(documents, now, wall_s=time.time()))
+        self._log_changes()
+
+    def _take_list(self, listed: list[membership.ListedInstance]) -> None:
+        self.perform(self._node.live_list(listed, time.monotonic()))
+
+    def perform(self, actions: typing.Iterable[messages.Action]) -> None:
+        """Carry out actions."""
+        now = time.monotonic()
+        for action in actions:
+            match action:
+                case messages.ToPeer():
+                    packed = wire.pack(action.message, key=self._keys[0])
+                    self._traffic.count(
+                        'sent', action.message, len(packed), now
+                    )
+                    self._peer.send(packed, (action.host, action.port))
+                case messages.ToAgent():
+                    packed = proxy_header.pack_internal(
+                        action.packet, key=self._keys[0]
+                    )
+                    self._peer.send(packed, (action.host, action.port))
+                case messages.FetchDocuments():
+                    self._spawn(
+                        self._documents.fetch(action.host, action.port)
+                    )
+                case _:
+                    self.perform_other(action, now)
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return figures for the status page and the metrics."""
+        digest = self._node.config.digest
+        return {
+            'name': self._values['name'],
+            'data_centre': self._values['data-centre'],
+            'ready': self._node.ready,
+            'leaving': self._leaving,
+            'reader': self._node.is_reader,
+            'revision_in_force': self._node.config.generation,
+            'revision_seen': digest.generation,
+            'documents_refused': self._node.config.refused,
+            'revision_alarms': self._node.config.alarms,
+            'pauses': self._node.members.pauses,
+            'platform_reads': self._platform.reads,
+            'platform_failures': self._platform.failures,
+            'control_bytes_per_s': round(self._traffic.rate),
+            'control_bytes_per_s_max': round(self._traffic.highest),
+            'traffic': dict(sorted(self._traffic.totals.items())),
+            'dropped_datagrams': dict(sorted(self._dropped.items())),
+            'peer_socket': dict(sorted(self._peer.counters.items())),
+            'members': {
+                member.name: messages.Health(member.health).name.lower()
+                + (' leaving' if member.leaving else '')
+                for member in self._node.members.members()
+            },
+        }
+
+    def _audit(self) -> list[dict[str, typing.Any]]:
+        return [record._asdict() for record in self._node.trail.records]
+
+    def _explain(self, caller: str, service: str) -> dict[str, typing.Any]:
+        key = flow.flow_key(
+            flow.parse_endpoint(caller), flow.parse_endpoint(service)
+        )
+        return node.explain(
+            self._node.view, key, hash_key=self._values['hash-key'][0]
+        )
+
+
+def own_member(values: dict[str, typing.Any], role: str) -> messages.Member:
+    """Return this process as others shall know it."""
+    peer = values['peer']
+    return membership.new_member(
+        values['name'],
+        role=role,
+        data_centre=values['data-centre'],
+        host=peer.host,
+        port=peer.port,
+        incarnation=int(time.time() * 1000),
+    )
--- /dev/null
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -0,0 +1,234 @@
+"""Decide for the process beside a backend server."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from teaseldock import context
+from teaseldock import messages
+from teaseldock import node
+from teaseldock import proxy_header
+from teaseldock import target
+
+if typing.TYPE_CHECKING:
+    from teaseldock.codecs import base
+    from teaseldock import inventory
+
+#: Seconds between two reports of load to the peers of a service.
+LOADS_INTERVAL_S = 0.2
+#: Peers that one report goes to; bounds traffic in large services.
+LOADS_FANOUT = 6
+#: A report is repeated this often even if nothing changed, seconds.
+LOADS_REPEAT_S = 1.0
+#: Seconds for which a leaving agent stays after its last packet of work, for
+#: callers that hold its challenges and for peers that hear of it late.
+LINGER_S = 3.0
+
+
+class Agent(node.Node):
+    """Serve the targets of one instance."""
+
+    def __init__(
+        self,
+        *,
+        own: messages.Member,
+        codec: base.Codec,
+        keys: context.Keys,
+        randomness: random.Random,
+        now: float,
+    ) -> None:
+        """Start with nothing in force.
+
+        :param own: this agent; its name is that of its instance.
+        :param codec: the callers' protocol.
+        """
+        super().__init__(own=own, randomness=randomness, now=now)
+        self._random = randomness
+        self._shared = context.new_context(
+            name=own.name,
+            current=self._view,
+            codec=codec,
+            keys=keys,
+            randomness=randomness,
+        )
+        self._targets: dict[int, target.Target] = {}
+        self._next_loads_at = now
+        self._last_loads: list[messages.Load] = []
+        self._last_loads_at = now
+        self._busy_until = now
+
+    @property
+    def counters(self) -> typing.Counter[str]:
+        """Return events since the start, by name."""
+        return self._shared.counters
+
+    @property
+    def targets(self) -> list[target.Target]:
+        """Return the targets on this instance."""
+        return list(self._targets.values())
+
+    def find(self, service: str) -> target.Target | None:
+        """Return the target of a service on this instance, or None."""
+        for item in self._targets.values():
+            if item.service.name == service:
+                return item
+        return None
+
+    def drained(self, now: float) -> bool:
+        """Tell whether a leaving agent may stop without cutting anything."""
+        for item in self._targets.values():
+            if not item.drained:
+                self._busy_until = now + LINGER_S
+        return now >= self._busy_until
+
+    def loads(self, now: float) -> list[messages.Load]:
+        """Return a report for each target."""
+        return [item.holder.load(now) for item in self._targets.values()]
+
+    def on_view_changed(self, now: float) -> list[messages.Action]:
+        """Build, change and withdraw targets as the rules say."""
+        contents = self._view.inventory
+        for name, service in self._view.table.services.items():
+            rules = contents.services[name]
+            existing = self._targets.get(service.number)
+            if existing is None and self._shared.name not in service.weights:
+                continue
+            slots = self._slots(contents)
+            if existing is not None:
+                existing.refresh(service, rules, slots=slots, now=now)
+                continue
+            self._targets[service.number] = target.Target(
+                self._shared, service, rules, slots=slots, now=now
+            )
+        for item in list(self._targets.values()):
+            if item.service.name not in contents.services:
+                item.withdraw()
+        return []
+
+    def _slots(self, contents: inventory.Inventory) -> int:
+        instance = contents.instances.get(self._shared.name)
+        return instance['slots'] if instance else 1
+
+    def on_heard(
+        self, message: messages.Ping | messages.Ack, now: float
+    ) -> None:
+        """Take the load reports of a heartbeat."""
+        self._take_loads(message.sender.name, message.loads, now)
+
+    def _take_loads(
+        self, sender: str, loads: list[messages.Load], now: float
+    ) -> None:
+        for load in loads:
+            item = self._targets.get(load.service_number)
+            if item is not None:
+                item.heard_load(sender, load, now)
+
+    def on_packet(
+        self, packet: proxy_header.Packet, now: float
+    ) -> list[messages.Action]:
+        """Handle a caller's packet from a balancer or another agent.
+
+        Both the sender's and this agent's idea of the service at the address
+        must fit the target. An address that was given to another service
+        would otherwise bring callers to the wrong one through whichever
+        process still has the old table; it would show as requests in the
+        wrong server's log.
+        """
+        item = self._targets.get(packet.service)
+        if item is None:
+            self._shared.counters['dropped_no_such_target'] += 1
+            return []
+        named = self._view.table.at(packet.flow[4:8] + packet.flow[10:12])
+        if named is None or named.number != packet.service:
+            self._shared.counters['dropped_wrong_service'] += 1
+            return []
+        self._busy_until = now + LINGER_S
+        return item.on_packet(packet, now)
+
+    def on_message(
+        self, message: typing.NamedTuple, now: float
+    ) -> list[messages.Action]:
+        """Handle a message of another process."""
+        if isinstance(message, messages.Loads):
+            self._take_loads(message.sender, message.loads, now)
+            return []
+        number = getattr(message, 'service_number', None)
+        if number is None:
+            return super().on_message(message, now)
+        item = self._targets.get(number)
+        if item is None:
+            return self._without_target(message)
+        return item.on_message(message, now)
+
+    def _without_target(
+        self, message: typing.NamedTuple
+    ) -> list[messages.Action]:
+        """Answer a search for a service that this instance doesn't serve yet.
+
+        The asker may have the newer rules. Without an answer it would hold
+        the caller's first packet back until all its rounds of asking are up.
+        """
+        self._shared.counters['messages_no_such_target'] += 1
+        if not isinstance(message, messages.Locate):
+            return []
+        answer = messages.Located(
+            self._shared.name, message.service_number, message.flow, False
+        )
+        return self._view.to_peer(message.sender, answer)
+
+    def on_server_reply(
+        self, service: str, reply: base.ServerReply, now: float
+    ) -> list[messages.Action]:
+        """Handle a datagram of the server of a service."""
+        item = self.find(service)
+        if item is None:
+            return []
+        return item.on_server_reply(reply, now)
+
+    def server_lost(self, service: str, now: float) -> list[messages.Action]:
+        """Note that the server of a service is gone."""
+        item = self.find(service)
+        if item is None or not item.holder.server_up:
+            return []
+        self._shared.counters['server_lost'] += 1
+        return item.server_lost(now)
+
+    def tick(self, now: float) -> list[messages.Action]:
+        """Do what is due; to be called several times a second."""
+        actions = super().tick(now)
+        for item in self._targets.values():
+            actions += item.tick(now)
+        return actions + self._report_loads(now)
+
+    def _report_loads(self, now: float) -> list[messages.Action]:
+        if now < self._next_loads_at:
+            return []
+        self._next_loads_at = now + LOADS_INTERVAL_S
+        loads = self.loads(now)
+        unchanged = loads == self._last_loads
+        if unchanged and now - self._last_loads_at < LOADS_REPEAT_S:
+            return []
+        self._last_loads = loads
+        self._last_loads_at = now
+        message = messages.Loads(self._shared.name, loads)
+        actions: list[messages.Action] = []
+        for name in self._pick_peers():
+            actions += self._view.to_peer(name, message)
+        return actions
+
+    def _pick_peers(self) -> list[str]:
+        names: set[str] = set()
+        for item in self._targets.values():
+            names.update(self._view.peers(item.service))
+        ordered = sorted(names)
+        if len(ordered) <= LOADS_FANOUT:
+            return ordered
+        return self._random.sample(ordered, LOADS_FANOUT)
+
+    def status(self, now: float) -> dict[str, typing.Any]:
+        """Return figures for the status page."""
+        return {
+            'counters': dict(sorted(self._shared.counters.items())),
+            'targets': [item.status(now) for item in self._targets.values()],
+        }
--- /dev/null
+++ b/packages/teaseldock/teaseldock/balancer.py
@@ -0,0 +1,54 @@
+"""Decide for an entry instance."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from teaseldock import messages
+from teaseldock import node
+from teaseldock import routing
+
+
+class Balancer(node.Node):
+    """Route packets to the owners of their buckets, without flow state."""
+
+    def __init__(
+        self,
+        *,
+        own: messages.Member,
+        hash_key: bytes,
+        randomness: random.Random,
+        now: float,
+    ) -> None:
+        """Start with nothing in force.
+
+        :param hash_key: key of the flow hash.
+        """
+        super().__init__(own=own, randomness=randomness, now=now)
+        self._router = routing.Router(current=self._view, hash_key=hash_key)
+
+    @property
+    def router(self) -> routing.Router:
+        """Return the part that routes packets."""
+        return self._router
+
+    def loads(self, now: float) -> list[messages.Load]:
+        """Return no report: a balancer serves nothing itself."""
+        return []
+
+    def on_view_changed(self, now: float) -> list[messages.Action]:
+        """Do nothing: the router looks at the view's version."""
+        return []
+
+    def on_heard(
+        self, message: messages.Ping | messages.Ack, now: float
+    ) -> None:
+        """Pass over the load reports."""
+
+    def status(self, now: float) -> dict[str, typing.Any]:
+        """Return figures for the status page."""
+        return {
+            'dropped': dict(self._router.dropped),
+            'services': len(self._view.table.services),
+        }
--- /dev/null
+++ b/packages/teaseldock/teaseldock/challenge.py
@@ -0,0 +1,72 @@
+"""Issue and check the Echo values that bind a request to one holder."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import struct
+import typing
+
+from teaseldock import exceptions
+from teaseldock import table
+
+#: Seconds for which an Echo may be used; RFC 7252 EXCHANGE_LIFETIME.
+CHALLENGE_LIFETIME_S = 247.0
+_LAYOUT = struct.Struct('!IQIQ')
+_TAG_BYTES = 8
+#: Bytes of a value; RFC 9175 allows 1 to 40.
+CHALLENGE_BYTES = _LAYOUT.size + _TAG_BYTES
+
+
+class Challenge(typing.NamedTuple):
+    """What an Echo value says.
+
+    :ivar holder: number of the instance that issued it.
+    :ivar incarnation: of that instance's agent; one per start.
+    :ivar issued_s: seconds of the issuer's clock, rounded down.
+    :ivar nonce: never repeated within one incarnation.
+    """
+
+    holder: int
+    incarnation: int
+    issued_s: int
+    nonce: int
+
+
+def holder_number(instance: str) -> int:
+    """Return the 32-bit number that stands for an instance."""
+    return table.service_id(f'instance/{instance}')
+
+
+def _tag(key: bytes, flow_key: bytes, head: bytes) -> bytes:
+    return hashlib.blake2b(
+        head + flow_key, key=key, digest_size=_TAG_BYTES
+    ).digest()
+
+
+def issue(challenge: Challenge, flow_key: bytes, *, key: bytes) -> bytes:
+    """Return the Echo value of a challenge for one flow."""
+    head = _LAYOUT.pack(*challenge)
+    return head + _tag(key, flow_key, head)
+
+
+def read(
+    value: bytes, flow_key: bytes, *, keys: typing.Sequence[bytes]
+) -> Challenge:
+    """Return what an Echo value says, if this fleet issued it for the flow.
+
+    :param keys: the keys in use, the newest first.
+    :raises ChallengeError: if it was made up, cut, or issued to another flow.
+    """
+    head = value[: _LAYOUT.size]
+    given = value[_LAYOUT.size :]
+    for key in keys:
+        if len(value) == CHALLENGE_BYTES and hmac.compare_digest(
+            given, _tag(key, flow_key, head)
+        ):
+            return Challenge(*_LAYOUT.unpack(head))
+    raise exceptions.ChallengeError(
+        'Echo',
+        'the value was not issued to this flow',
+        remedy='send the request without it to get a new one',
+    )
--- /dev/null
+++ b/packages/teaseldock/teaseldock/configuration.py
@@ -0,0 +1,312 @@
+"""Take published documents into force, in rising revisions only."""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+from teaseldock import audit
+from teaseldock import exceptions
+from teaseldock import inventory
+
+REGISTER_PREFIX = 'register'
+RULES_PREFIX = 'rules'
+
+
+class Document(typing.NamedTuple):
+    """One value of the configuration service.
+
+    :ivar key: ``register``, ``rules``, or a part such as ``rules.payroll``.
+    :ivar revision: rises with each publication of any key.
+    :ivar publisher: who published it.
+    :ivar content: JSON text.
+    """
+
+    key: str
+    revision: int
+    publisher: str
+    content: bytes
+
+
+class Digest(typing.NamedTuple):
+    """What a process has in force, small enough for each heartbeat.
+
+    :ivar generation: highest revision seen, accepted or not.
+    :ivar checksum: of all keys, revisions and contents held.
+    """
+
+    generation: int
+    checksum: int
+
+
+def _checksum(documents: typing.Iterable[Document]) -> int:
+    digest = hashlib.blake2b(digest_size=7)
+    for document in sorted(documents):
+        digest.update(f'{document.key} {document.revision} '.encode())
+        digest.update(hashlib.blake2b(document.content).digest())
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def _kind_of(key: str) -> type:
+    head = key.split('.', 1)[0]
+    if head == REGISTER_PREFIX:
+        return inventory.Register
+    if head == RULES_PREFIX:
+        return inventory.Rules
+    raise exceptions.DocumentError(
+        key,
+        'the key is neither a register nor rules',
+        remedy=f'name it {REGISTER_PREFIX}.PART or {RULES_PREFIX}.PART',
+    )
+
+
+class Configuration:
+    """Hold the latest documents and the inventory that is in force.
+
+    Two sets of documents are kept. ``latest`` is the newest of each key,
+    whether it is any good or not; ``in force`` is the newest set that passed
+    all checks. They differ while a refused document waits for its author.
+    """
+
+    def __init__(self, *, trail: audit.AuditTrail) -> None:
+        """Start with nothing in force.
+
+        :param trail: receives a record for each change and refusal.
+        """
+        self._trail = trail
+        self._latest: dict[str, Document] = {}
+        self._in_force: dict[str, Document] = {}
+        self._parsed: dict[tuple[str, int, bytes], typing.Any] = {}
+        self._inventory = inventory.EMPTY_INVENTORY
+        self._digest = Digest(0, 0)
+        self._alarms = 0
+        self._refused = 0
+
+    @property
+    def inventory(self) -> inventory.Inventory:
+        """Return the inventory in force."""
+        return self._inventory
+
+    @property
+    def digest(self) -> Digest:
+        """Return the digest that heartbeats carry."""
+        return self._digest
+
+    @property
+    def generation(self) -> int:
+        """Return the highest revision in force."""
+        return max(
+            (item.revision for item in self._in_force.values()), default=0
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether any service is in force."""
+        return bool(self._inventory.services)
+
+    @property
+    def alarms(self) -> int:
+        """Return how often one revision came with two contents."""
+        return self._alarms
+
+    @property
+    def refused(self) -> int:
+        """Return how many documents were refused."""
+        return self._refused
+
+    def documents(self) -> list[Document]:
+        """Return what a peer needs: all in force, then all that wait."""
+        waiting = [
+            document
+            for key, document in self._latest.items()
+            if self._in_force.get(key) != document
+        ]
+        return list(self._in_force.values()) + waiting
+
+    def offer(self, documents: list[Document], now: float) -> bool:
+        """Take documents from the service or a peer.
+
+        An older revision than the one held is passed over in silence: a
+        stale replica of the service or a slow peer sends these all day. The
+        fault to prevent is a process going back to rules that were already
+        replaced, which would show as a drained target getting new work.
+
+        :param now: wall-clock seconds since 1970, for the audit trail.
+        :returns: whether the inventory in force changed.
+        """
+        fresh = [item for item in documents if self._is_news(item, now)]
+        if not fresh:
+            return False
+        for document in fresh:
+            self._latest[document.key] = document
+        changed = self._apply(fresh, now)
+        self._digest = Digest(
+            max(item.revision for item in self._latest.values()),
+            _checksum(self._latest.values()),
+        )
+        return changed
+
+    def _is_news(self, document: Document, now: float) -> bool:
+        held = self._latest.get(document.key)
+        if held is None or document.revision > held.revision:
+            return True
+        if document.revision < held.revision:
+            return False
+        if document.content == held.content:
+            return False
+        # One revision with two contents: two replicas of the service were
+        # written apart. Without a fixed winner, processes that read different
+        # replicas would route the same flow differently for good.
+        self._alarms += 1
+        self._trail.add(
+            audit.AuditRecord(
+                now,
+                document.key,
+                document.revision,
+                document.publisher,
+                'alarm',
+                'one revision with two contents; the larger text wins, '
+                'publish again with a new revision',
+            )
+        )
+        return document.content > held.content
+
+    def _parse(self, document: Document) -> typing.Any:
+        identity = (document.key, document.revision, document.content)
+        if identity not in self._parsed:
+            self._parsed[identity] = inventory.parse(
+                document.key, document.content, _kind_of(document.key)
+            )
+        return self._parsed[identity]
+
+    def _join(self, documents: dict[str, Document]) -> inventory.Inventory:
+        registers = []
+        rules = []
+        for key in sorted(documents):
+            parsed = self._parse(documents[key])
+            if _kind_of(key) is inventory.Register:
+                registers.append(parsed)
+            else:
+                rules.append(parsed)
+        return inventory.join(registers, rules)
+
+    def _apply(self, fresh: list[Document], now: float) -> bool:
+        """Put the largest valid set of the latest documents into force.
+
+        All of them together come first, since a register and the rules that
+        name its new instances are published one after the other. If that
+        fails, each is tried alone, so that one team's mistake doesn't hold
+        up another team's change.
+        """
+        waiting = {
+            key: document
+            for key, document in self._latest.items()
+            if self._in_force.get(key) != document
+        }
+        if self._try({**self._in_force, **waiting}) is None:
+            self._accept(waiting, now)
+            return True
+        changed = False
+        for document in sorted(waiting.values(), key=lambda d: d.revision):
+            error = self._try({**self._in_force, document.key: document})
+            if error is None:
+                self._accept({document.key: document}, now)
+                changed = True
+            elif document in fresh:
+                self._refuse(document, error, now)
+        return changed
+
+    def _try(
+        self, documents: dict[str, Document]
+    ) -> exceptions.TeaseldockError | None:
+        try:
+            self._join(documents)
+        except exceptions.TeaseldockError as error:
+            return error
+        return None
+
+    def _accept(self, documents: dict[str, Document], now: float) -> None:
+        before = self._inventory
+        self._in_force.update(documents)
+        self._inventory = self._join(self._in_force)
+        self._forget_parsed()
+        detail = describe_change(before, self._inventory)
+        for document in documents.values():
+            self._trail.add(
+                audit.AuditRecord(
+                    now,
+                    document.key,
+                    document.revision,
+                    document.publisher,
+                    'in force',
+                    detail,
+                )
+            )
+
+    def _refuse(
+        self,
+        document: Document,
+        error: exceptions.TeaseldockError,
+        now: float,
+    ) -> None:
+        self._refused += 1
+        self._trail.add(
+            audit.AuditRecord(
+                now,
+                document.key,
+                document.revision,
+                document.publisher,
+                'refused',
+                str(error),
+            )
+        )
+
+    def _forget_parsed(self) -> None:
+        held = {
+            (item.key, item.revision, item.content)
+            for item in self.documents()
+        }
+        self._parsed = {
+            identity: value
+            for identity, value in self._parsed.items()
+            if identity in held
+        }
+
+
+def _describe_names(kind: str, before: dict, after: dict) -> list[str]:
+    parts = []
+    for sign, names in (
+        ('+', after.keys() - before.keys()),
+        ('-', before.keys() - after.keys()),
+        (
+            '~',
+            {n for n in after.keys() & before.keys() if after[n] != before[n]},
+        ),
+    ):
+        if names:
+            parts.append(f'{sign}{kind} {",".join(sorted(names)[:8])}')
+    return parts
+
+
+def describe_change(
+    before: inventory.Inventory, after: inventory.Inventory
+) -> str:
+    """Return one line on what differs between two inventories."""
+    parts = _describe_names('instances', before.instances, after.instances)
+    parts += _describe_names('services', before.services, after.services)
+    parts += _describe_names(
+        'leaving',
+        dict.fromkeys(before.leaving, True),
+        dict.fromkeys(after.leaving, True),
+    )
+    return '; '.join(parts) or 'nothing'
+
+
+def check_documents(documents: list[Document]) -> inventory.Inventory:
+    """Check a whole configuration without putting it into force.
+
+    :raises DocumentError: if a document cannot be read.
+    :raises InventoryError: if the documents do not fit together.
+    """
+    configuration = Configuration(trail=audit.AuditTrail(length=1))
+    return configuration._join({item.key: item for item in documents})
--- /dev/null
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -0,0 +1,500 @@
+"""See the requests of held flows through to one final answer each."""
+
+from __future__ import annotations
+
+import collections
+import math
+import typing
+
+from teaseldock import challenge
+from teaseldock.codecs import base
+from teaseldock import exceptions
+from teaseldock import exchanges
+from teaseldock import executor
+from teaseldock import messages
+from teaseldock import placement
+from teaseldock import proxy_header
+
+if typing.TYPE_CHECKING:
+    from teaseldock import context
+    from teaseldock import table
+
+#: Seconds until a hand-on without an answer is sent again.
+REPEAT_S = 0.25
+#: Seconds after which a hand-on without an answer is given up.
+HAND_ON_TIMEOUT_S = executor.ANSWER_TIMEOUT_S + 1.0
+#: Targets that may refuse a request before the caller is told.
+ATTEMPTS = 3
+#: Share of requests that may be run again after an unknown outcome.
+RETRY_SHARE = 0.1
+#: Retries allowed at once after a quiet time.
+RETRY_BURST = 10.0
+#: Weight of a request that no class of the rules names.
+DEFAULT_WEIGHT = 1.0
+
+
+class Pending:
+    """A request on its way to a final answer.
+
+    :ivar key: of its exchange.
+    :ivar runner: instance that it was given to.
+    :ivar tried: instances that refused it.
+    :ivar may_have_run: whether a server was given it and didn't answer.
+    """
+
+    __slots__ = (
+        'key',
+        'exchange',
+        'request',
+        'weight',
+        'deadline',
+        'runner',
+        'incarnation',
+        'tried',
+        'began_at',
+        'repeat_at',
+        'may_have_run',
+    )
+
+    def __init__(
+        self,
+        key: bytes,
+        exchange: exchanges.Exchange,
+        request: base.Request,
+        weight: float,
+        now: float,
+    ) -> None:
+        """Begin with nobody running it."""
+        self.key = key
+        self.exchange = exchange
+        self.request = request
+        self.weight = weight
+        self.deadline = now + (request.deadline_s or math.inf)
+        self.runner = ''
+        self.incarnation = 0
+        self.tried: set[str] = set()
+        self.began_at = now
+        self.repeat_at = math.inf
+        self.may_have_run = False
+
+
+class Coordinator:
+    """Challenge, place, hand on, repeat and answer requests.
+
+    For a request that isn't idempotent, three rules together make it run at
+    most once. It runs only with a challenge that this incarnation issued; a
+    challenge is used for one exchange; and once the request may have reached
+    a server, it is never given to another.
+    """
+
+    def __init__(
+        self,
+        shared: context.Context,
+        service: table.ServiceTable,
+        runner: executor.Executor,
+        loads: placement.LoadView,
+        own_load: typing.Callable[[float], messages.Load],
+    ) -> None:
+        """Start with no request.
+
+        :param runner: executor of the local server.
+        :param own_load: returns the local load at a time.
+        """
+        self._shared = shared
+        self._service = service
+        self._runner = runner
+        self._loads = loads
+        self._own_load = own_load
+        self._exchanges = exchanges.ExchangeTable()
+        self._pending: dict[int, Pending] = {}
+        self._open_flows: collections.Counter[bytes] = collections.Counter()
+        self._weights: dict[tuple[str, str], float] = {}
+        self._number = challenge.holder_number(shared.name)
+        self._retries = RETRY_BURST
+
+    @property
+    def exchanges(self) -> exchanges.ExchangeTable:
+        """Return the exchanges seen."""
+        return self._exchanges
+
+    @property
+    def open(self) -> int:
+        """Return how many requests have no final answer yet."""
+        return len(self._pending)
+
+    def is_open(self, flow: bytes) -> bool:
+        """Tell whether a flow has a request without a final answer."""
+        return flow in self._open_flows
+
+    def configure(
+        self,
+        service: table.ServiceTable,
+        classes: typing.Iterable[typing.Mapping[str, typing.Any]],
+    ) -> None:
+        """Take over the rules' table and classes of requests."""
+        self._service = service
+        self._weights = {
+            (item['method'], item['path'].strip('/')): item['weight']
+            for item in classes
+        }
+
+    def weight_of(self, request: base.Request) -> float:
+        """Return the weight that the rules give a request."""
+        return self._weights.get(
+            (request.method, request.segment), DEFAULT_WEIGHT
+        )
+
+    def on_request(
+        self, flow: bytes, request: base.Request, now: float
+    ) -> list[messages.Action]:
+        """Handle a request of a flow that is held here."""
+        key = flow + request.exchange
+        known = self._exchanges.get(key)
+        if known is not None:
+            return self._repeat(known, request)
+        if request.idempotent:
+            return self._begin(flow, key, request, now)
+        return self._on_guarded(flow, key, request, now)
+
+    def _repeat(
+        self, exchange: exchanges.Exchange, request: base.Request
+    ) -> list[messages.Action]:
+        self._shared.counters['repeats'] += 1
+        if exchange.answer is not None:
+            return [messages.ToCaller(exchange.flow, exchange.answer)]
+        if exchange.gone:
+            return self._refuse_unknown(exchange.flow, request)
+        return []
+
+    def _on_guarded(
+        self, flow: bytes, key: bytes, request: base.Request, now: float
+    ) -> list[messages.Action]:
+        """Handle a request that must not run twice."""
+        if not request.echo:
+            return self._challenge(flow, request, now)
+        try:
+            given = challenge.read(
+                request.echo, flow, keys=self._shared.keys.seal
+            )
+        except exceptions.ChallengeError:
+            self._shared.counters['challenges_unreadable'] += 1
+            return self._challenge(flow, request, now)
+        own = self._shared.view.own_incarnations()
+        if given.holder != self._number or given.incarnation not in own:
+            return self._to_challenger(flow, request, given)
+        if now - given.issued_s > challenge.CHALLENGE_LIFETIME_S:
+            return self._refuse_unknown(flow, request)
+        if self._exchanges.use(given.nonce, key, now) is not None:
+            # The same challenge under another message: the first may have
+            # run, so neither "not run" nor a second run would be right.
+            return self._refuse_unknown(flow, request)
+        return self._begin(flow, key, request, now)
+
+    def _challenge(
+        self, flow: bytes, request: base.Request, now: float
+    ) -> list[messages.Action]:
+        self._shared.counters['challenges'] += 1
+        issued = challenge.Challenge(
+            self._number,
+            self._shared.view.own_incarnation(),
+            int(now),
+            next(self._shared.calls),
+        )
+        value = challenge.issue(issued, flow, key=self._shared.keys.seal[0])
+        answer = self._shared.codec.challenge(request, value)
+        return [messages.ToCaller(flow, answer)]
+
+    def _to_challenger(
+        self, flow: bytes, request: base.Request, given: challenge.Challenge
+    ) -> list[messages.Action]:
+        """Hand a request to the one process that may run it."""
+        for name in self._service.weights:
+            if challenge.holder_number(name) != given.holder:
+                continue
+            if name == self._shared.name or self._shared.view.is_dead(name):
+                break
+            heard = self._shared.view.incarnation(name)
+            endpoint = self._shared.view.endpoint(name)
+            if heard not in (0, given.incarnation) or endpoint is None:
+                break
+            self._shared.counters['to_challenger'] += 1
+            packet = proxy_header.Packet(
+                flow,
+                self._service.number,
+                self._shared.view.generation,
+                proxy_header.Role.CHALLENGER,
+                0,
+                request.body,
+            )
+            return [messages.ToAgent(endpoint.host, endpoint.port, packet)]
+        return self._refuse_unknown(flow, request)
+
+    def _begin(
+        self, flow: bytes, key: bytes, request: base.Request, now: float
+    ) -> list[messages.Action]:
+        exchange = exchanges.Exchange(flow, request.body, now)
+        self._exchanges.begin(key, exchange)
+        weight = self.weight_of(request)
+        pending = Pending(key, exchange, request, weight, now)
+        self._open_flows[flow] += 1
+        self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
+        self._shared.counters['requests'] += 1
+        return self._place(pending, now)
+
+    def _stays(self, request: base.Request) -> bool:
+        return request.pinned or request.observe is not None
+
+    def _place(self, pending: Pending, now: float) -> list[messages.Action]:
+        """Give a request to the best target that has not refused it."""
+        actions: list[messages.Action] = []
+        while len(pending.tried) < ATTEMPTS:
+            name = self._choose(pending, now)
+            if name is None:
+                break
+            call = next(self._shared.calls)
+            if name != self._shared.name:
+                return actions + self._hand_on(pending, call, name, now)
+            job = executor.Job(
+                call,
+                pending.weight,
+                pending.deadline,
+                pending.request.body,
+                pending,
+            )
+            pending.runner = name
+            self._pending[call] = pending
+            verdict, started, evicted = self._runner.submit(job, now)
+            actions += started
+            for other in evicted:
+                if other.call != call:
+                    actions += self.refuse_job(other, now)
+            evicted_itself = any(other.call == call for other in evicted)
+            if verdict is not executor.Verdict.REFUSED and not evicted_itself:
+                return actions
+            del self._pending[call]
+            pending.tried.add(name)
+        return actions + self._refuse_not_run(pending, now)
+
+    def _choose(self, pending: Pending, now: float) -> str | None:
+        own = self._own_load(now)
+        own_name = self._shared.name
+        if self._stays(pending.request):
+            usable = own.accepting or pending.request.pinned
+            usable = usable and self._runner.server_up
+            return own_name if usable and not pending.tried else None
+        excluded = self._shared.view.excluded
+        if not own.accepting or own_name in pending.tried:
+            own = None
+        return self._loads.for_request(
+            own,
+            own_name,
+            lambda name: name not in excluded
+            and name not in pending.tried
+            and self._shared.view.incarnation(name) != 0,
+            now,
+        )
+
+    def _hand_on(
+        self, pending: Pending, call: int, name: str, now: float
+    ) -> list[messages.Action]:
+        pending.runner = name
+        pending.incarnation = self._shared.view.incarnation(name)
+        pending.repeat_at = now + REPEAT_S
+        self._pending[call] = pending
+        self._loads.sent(name)
+        self._shared.counters['handed_on'] += 1
+        return self._send_execute(pending, call, now)
+
+    def _send_execute(
+        self, pending: Pending, call: int, now: float
+    ) -> list[messages.Action]:
+        left_ms = 0
+        if pending.deadline != math.inf:
+            left_ms = max(1, int((pending.deadline - now) * 1000))
+        message = messages.Execute(
+            self._shared.name,
+            self._service.number,
+            call,
+            self._shared.view.own_incarnation(),
+            pending.incarnation,
+            pending.weight,
+            pending.request.idempotent,
+            left_ms,
+            pending.request.body,
+            self._own_load(now),
+        )
+        return self._shared.view.to_peer(pending.runner, message)
+
+    def on_executed(
+        self, message: messages.Executed, now: float
+    ) -> list[messages.Action]:
+        """Handle a peer's answer to a hand-on."""
+        pending = self._pending.get(message.call)
+        if pending is None or pending.runner != message.sender:
+            self._shared.counters['late_answers'] += 1
+            return []
+        del self._pending[message.call]
+        if message.outcome == messages.Outcome.ANSWERED:
+            return self._answer(pending, message.body)
+        if message.outcome == messages.Outcome.NOT_RUN:
+            pending.tried.add(message.sender)
+            return self._place(pending, now)
+        return self._lost(pending, now)
+
+    def on_local(
+        self,
+        job: executor.Job,
+        outcome: messages.Outcome,
+        body: bytes,
+        now: float,
+    ) -> list[messages.Action]:
+        """Handle what became of a job at the local server."""
+        pending = self._pending.pop(job.call, None)
+        if pending is None:
+            return []
+        if outcome == messages.Outcome.ANSWERED:
+            return self._answer(pending, body)
+        if outcome == messages.Outcome.NOT_RUN:
+            pending.tried.add(self._shared.name)
+            return self._place(pending, now)
+        return self._lost(pending, now)
+
+    def refuse_job(
+        self, job: executor.Job, now: float
+    ) -> list[messages.Action]:
+        """Refuse a local job that waited and will not be run."""
+        pending = self._pending.pop(job.call, None)
+        if pending is None:
+            return []
+        return self._refuse_not_run(pending, now)
+
+    def _answer(self, pending: Pending, body: bytes) -> list[messages.Action]:
+        answer = self._shared.codec.answer(
+            pending.request, body, sequence=None
+        )
+        return self._settle(pending, answer)
+
+    def settle_local(
+        self, job: executor.Job, answer: bytes
+    ) -> list[messages.Action]:
+        """Settle a local job with a datagram made by the submitter."""
+        pending = self._pending.pop(job.call, None)
+        if pending is None:
+            return []
+        return self._settle(pending, answer)
+
+    def _settle(
+        self, pending: Pending, answer: bytes
+    ) -> list[messages.Action]:
+        """Send the final answer and keep it for repeats."""
+        self._close(pending)
+        self._shared.counters['answered'] += 1
+        self._exchanges.answered(pending.exchange, answer)
+        return [messages.ToCaller(pending.exchange.flow, answer)]
+
+    def _close(self, pending: Pending) -> None:
+        flow = pending.exchange.flow
+        self._open_flows[flow] -= 1
+        if self._open_flows[flow] <= 0:
+            del self._open_flows[flow]
+
+    def _lost(self, pending: Pending, now: float) -> list[messages.Action]:
+        """Handle a request that may have run, without an answer."""
+        retry = pending.request.idempotent and self._retries >= 1
+        if retry and pending.deadline > now:
+            self._retries -= 1
+            self._shared.counters['retries'] += 1
+            pending.tried.add(pending.runner)
+            pending.may_have_run = True
+            return self._place(pending, now)
+        self._close(pending)
+        self._shared.counters['refused_outcome_unknown'] += 1
+        answer = self._refusal(pending.request, base.Refusal.OUTCOME_UNKNOWN)
+        self._exchanges.answered(pending.exchange, answer)
+        return [messages.ToCaller(pending.exchange.flow, answer)]
+
+    def _refuse_not_run(
+        self, pending: Pending, now: float
+    ) -> list[messages.Action]:
+        # An idempotent request that was retried may have run before; then
+        # "not run" would be untrue. Only the outcome is unknown.
+        self._close(pending)
+        reason = base.Refusal.NOT_RUN
+        if pending.may_have_run:
+            reason = base.Refusal.OUTCOME_UNKNOWN
+        self._shared.counters['refused_not_run'] += 1
+        after = self._runner.retry_after(now)
+        answer = self._refusal(pending.request, reason, after)
+        self._exchanges.answered(pending.exchange, answer)
+        return [messages.ToCaller(pending.exchange.flow, answer)]
+
+    def _refuse_unknown(
+        self, flow: bytes, request: base.Request
+    ) -> list[messages.Action]:
+        self._shared.counters['refused_outcome_unknown'] += 1
+        answer = self._refusal(request, base.Refusal.OUTCOME_UNKNOWN)
+        return [messages.ToCaller(flow, answer)]
+
+    def _refusal(
+        self,
+        request: base.Request,
+        reason: base.Refusal,
+        after: int = executor.RETRY_AFTER_MIN_S,
+    ) -> bytes:
+        return self._shared.codec.refusal(request, reason, retry_after_s=after)
+
+    def tick(self, now: float) -> list[messages.Action]:
+        """Repeat hand-ons, and give up on runners that died."""
+        actions: list[messages.Action] = []
+        for call, pending in list(self._pending.items()):
+            if pending.runner != self._shared.name:
+                actions += self._watch(call, pending, now)
+        self._exchanges.expire(now)
+        return actions
+
+    def _watch(
+        self, call: int, pending: Pending, now: float
+    ) -> list[messages.Action]:
+        current = self._shared.view
+        reborn = current.incarnation(pending.runner) != pending.incarnation
+        expired = now - pending.began_at > HAND_ON_TIMEOUT_S
+        if current.is_dead(pending.runner) or reborn or expired:
+            del self._pending[call]
+            return self._lost(pending, now)
+        if now < pending.repeat_at:
+            return []
+        pending.repeat_at = now + REPEAT_S
+        self._shared.counters['hand_on_repeats'] += 1
+        return self._send_execute(pending, call, now)
+
+    def cancel(self, flow: bytes) -> None:
+        """Drop the waiting requests of a flow whose caller gave up."""
+        for call, pending in list(self._pending.items()):
+            if pending.exchange.flow != flow:
+                continue
+            if self._runner.cancel(call) is None:
+                continue
+            del self._pending[call]
+            self._close(pending)
+            self._exchanges.abandon(pending.key)
+
+    def export_results(self, flow: bytes) -> list[messages.Result]:
+        """Return the answers that a flow's caller may still ask for."""
+        return [
+            messages.Result(item.request, item.answer)
+            for item in self._exchanges.of_flow(flow)
+            if item.answer is not None
+        ]
+
+    def import_results(
+        self, flow: bytes, results: list[messages.Result], now: float
+    ) -> None:
+        """Take over answers from the flow's former holder."""
+        for result in results:
+            request = self._shared.codec.read_caller(result.request)
+            key = flow + request.exchange
+            if self._exchanges.get(key) is not None:
+                continue
+            exchange = exchanges.Exchange(flow, result.request, now)
+            self._exchanges.begin(key, exchange)
+            self._exchanges.answered(exchange, result.answer)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/directory.py
@@ -0,0 +1,139 @@
+"""Decide, as the owner of buckets, which target holds a flow."""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock import flow_store
+from teaseldock import proxy_header
+
+#: Seconds after gaining a bucket in which unknown flows are searched for.
+SEARCH_WINDOW_S = 10.0
+#: Seconds between two rounds of asking.
+SEARCH_REPEAT_S = 0.15
+#: Rounds of asking before the silent ones are taken as not holding.
+SEARCH_ROUNDS = 4
+#: Packets of one flow kept while it is searched for.
+PACKETS_PER_SEARCH = 4
+#: Flows searched for at once; beyond it packets are dropped and counted.
+SEARCHES_AT_ONCE = 4096
+
+
+class Search:
+    """Hold the packets of a flow while its holder is asked for."""
+
+    __slots__ = ('bucket', 'packets', 'unanswered', 'rounds', 'repeat_at')
+
+    def __init__(
+        self, bucket: int, unanswered: set[str], repeat_at: float
+    ) -> None:
+        """Begin with no packet.
+
+        :param unanswered: instances that have yet to answer.
+        """
+        self.bucket = bucket
+        self.packets: list[proxy_header.Packet] = []
+        self.unanswered = unanswered
+        self.rounds = 1
+        self.repeat_at = repeat_at
+
+
+class Directory:
+    """Know the holders of the flows whose buckets this agent owns.
+
+    Only flows that another target holds have an entry: most flows are held
+    by the owner itself, whose own flow store answers for them.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start with all buckets unowned."""
+        self._holders = flow_store.FlowStore(now)
+        self._windows: dict[int, float] = {}
+        self._owned: set[int] = set()
+        self._searches: dict[bytes, Search] = {}
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    @property
+    def searches(self) -> dict[bytes, Search]:
+        """Return the searches under way, by flow."""
+        return self._searches
+
+    def own(self, buckets: set[int], now: float) -> None:
+        """Take over the set of owned buckets.
+
+        A bucket that is new to this agent may have flows that others hold
+        and that this agent has never heard of. Placing these anew would break
+        them, which a caller would notice as a feed that goes silent; so for
+        a time, unknown flows of the bucket are searched for.
+        """
+        for bucket in buckets - self._owned:
+            self._windows[bucket] = now + SEARCH_WINDOW_S
+        self._owned = buckets
+
+    def must_search(self, bucket: int, now: float) -> bool:
+        """Tell whether an unknown flow of a bucket may be held elsewhere."""
+        if bucket not in self._owned:
+            return True
+        until = self._windows.get(bucket)
+        if until is None:
+            return False
+        if now < until:
+            return True
+        del self._windows[bucket]
+        return False
+
+    def holder_of(self, flow: bytes) -> str | None:
+        """Return the instance that holds a flow, as far as is known."""
+        return self._holders.get(flow)
+
+    def learn(self, flow: bytes, holder: str) -> None:
+        """Note the holder of a flow."""
+        self._holders.put(flow, holder)
+
+    def forget(self, flow: bytes) -> None:
+        """Remove the entry of a flow."""
+        self._holders.pop(flow)
+
+    def search(
+        self,
+        packet: proxy_header.Packet,
+        bucket: int,
+        peers: typing.Iterable[str],
+        now: float,
+    ) -> Search | None:
+        """Keep a packet until its flow is found.
+
+        :returns: the search if it has just begun and others must be asked.
+        """
+        known = self._searches.get(packet.flow)
+        if known is not None:
+            if len(known.packets) < PACKETS_PER_SEARCH:
+                known.packets.append(packet)
+            return None
+        if len(self._searches) >= SEARCHES_AT_ONCE:
+            return None
+        begun = Search(bucket, set(peers), now + SEARCH_REPEAT_S)
+        begun.packets.append(packet)
+        self._searches[packet.flow] = begun
+        return begun
+
+    def due(self, now: float) -> list[tuple[bytes, Search]]:
+        """Return the searches whose silent peers must be asked again."""
+        found = []
+        for flow, search in self._searches.items():
+            if now >= search.repeat_at:
+                search.rounds += 1
+                search.repeat_at = now + SEARCH_REPEAT_S
+                found.append((flow, search))
+        return found
+
+    def finish(self, flow: bytes) -> list[proxy_header.Packet]:
+        """End a search and return the packets it held back."""
+        search = self._searches.pop(flow, None)
+        return search.packets if search else []
+
+    def expire(self, now: float) -> None:
+        """Forget idle entries."""
+        self._holders.expire(now, lambda flow, holder: False)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/exchanges.py
@@ -0,0 +1,138 @@
+"""Remember exchanges, so that a repeated message is never a second request."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from teaseldock import challenge
+
+#: Bytes of answers kept for repeats; beyond it the oldest lose their text.
+ANSWER_BYTES = 8_000_000
+#: Longest time a caller's repeats of one message can arrive, seconds.
+EXCHANGE_LIFETIME_S = challenge.CHALLENGE_LIFETIME_S
+
+
+class Exchange:
+    """State of one message from a caller.
+
+    :ivar answer: datagram sent to the caller; None while there is none.
+    :ivar gone: whether an answer was sent and its text was given up.
+    """
+
+    __slots__ = ('flow', 'request', 'began_at', 'answer', 'gone')
+
+    def __init__(self, flow: bytes, request: bytes, began_at: float) -> None:
+        """Begin an exchange.
+
+        :param request: the caller's datagram.
+        """
+        self.flow = flow
+        self.request = request
+        self.began_at = began_at
+        self.answer: bytes | None = None
+        self.gone = False
+
+
+class Nonce(typing.NamedTuple):
+    """Use of a challenge: the exchange that it let run, and when."""
+
+    exchange: bytes
+    used_at: float
+
+
+class ExchangeTable:
+    """Find exchanges by message and by challenge.
+
+    A challenge's use is remembered for as long as the challenge is valid,
+    whatever memory is short: forgetting it would let a duplicate run again,
+    which shows as a doubled order in the server's log.
+    """
+
+    def __init__(self) -> None:
+        """Start with no exchange."""
+        self._exchanges: collections.OrderedDict[bytes, Exchange] = (
+            collections.OrderedDict()
+        )
+        self._by_flow: dict[bytes, list[Exchange]] = {}
+        self._nonces: collections.OrderedDict[int, Nonce] = (
+            collections.OrderedDict()
+        )
+        self._answers: collections.deque[Exchange] = collections.deque()
+        self._answer_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._exchanges)
+
+    def get(self, key: bytes) -> Exchange | None:
+        """Return the exchange of a message, or None."""
+        return self._exchanges.get(key)
+
+    def begin(self, key: bytes, exchange: Exchange) -> None:
+        """Add an exchange.
+
+        :param key: flow key followed by the request's exchange.
+        """
+        self._exchanges[key] = exchange
+        self._by_flow.setdefault(exchange.flow, []).append(exchange)
+
+    def abandon(self, key: bytes) -> None:
+        """Forget an exchange of which nothing may be remembered."""
+        exchange = self._exchanges.pop(key, None)
+        if exchange is not None:
+            self._unlink(exchange)
+
+    def _unlink(self, exchange: Exchange) -> None:
+        of_flow = self._by_flow[exchange.flow]
+        of_flow.remove(exchange)
+        if not of_flow:
+            del self._by_flow[exchange.flow]
+
+    def use(self, nonce: int, key: bytes, now: float) -> bytes | None:
+        """Note the use of a challenge.
+
+        :returns: the exchange that used it before, or None for the first.
+        """
+        known = self._nonces.get(nonce)
+        if known is not None:
+            return known.exchange
+        self._nonces[nonce] = Nonce(key, now)
+        return None
+
+    def used_by(self, nonce: int) -> bytes | None:
+        """Return the exchange that used a challenge, or None."""
+        known = self._nonces.get(nonce)
+        return known.exchange if known else None
+
+    def answered(self, exchange: Exchange, answer: bytes) -> None:
+        """Keep an answer for repeats of its message."""
+        exchange.answer = answer
+        self._answers.append(exchange)
+        self._answer_bytes += len(answer)
+        while self._answer_bytes > ANSWER_BYTES:
+            oldest = self._answers.popleft()
+            self._answer_bytes -= len(oldest.answer or b'')
+            oldest.answer = None
+            oldest.gone = True
+
+    def of_flow(self, flow: bytes) -> list[Exchange]:
+        """Return the exchanges of a flow, oldest first."""
+        return list(self._by_flow.get(flow, ()))
+
+    def expire(self, now: float) -> None:
+        """Forget what no repeat can ask for any more."""
+        oldest = now - EXCHANGE_LIFETIME_S
+        while self._exchanges:
+            key = next(iter(self._exchanges))
+            if self._exchanges[key].began_at > oldest:
+                break
+            self._unlink(self._exchanges.pop(key))
+        while self._answers and self._answers[0].began_at <= oldest:
+            dropped = self._answers.popleft()
+            self._answer_bytes -= len(dropped.answer or b'')
+        while self._nonces:
+            nonce = next(iter(self._nonces))
+            # Twice the lifetime: issue and use are each up to one old.
+            if self._nonces[nonce].used_at > oldest - EXCHANGE_LIFETIME_S:
+                break
+            del self._nonces[nonce]
--- /dev/null
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -0,0 +1,358 @@
+"""Hold flows: pass their requests to the server and their answers back."""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock.codecs import base
+from teaseldock import coordinator
+from teaseldock import exceptions
+from teaseldock import executor
+from teaseldock import feeds
+from teaseldock import flow as flows
+from teaseldock import flow_store
+from teaseldock import messages
+from teaseldock import placement
+from teaseldock import remote
+
+if typing.TYPE_CHECKING:
+    from teaseldock import context
+    from teaseldock import inventory
+    from teaseldock import proxy_header
+    from teaseldock import table
+
+#: Seconds after its last part in which a transfer in parts is kept together.
+TRANSFER_IDLE_S = 5.0
+
+
+class Holder:
+    """Own the flows that were placed at this instance for one service."""
+
+    def __init__(
+        self,
+        shared: context.Context,
+        service: table.ServiceTable,
+        loads: placement.LoadView,
+        *,
+        slots: int,
+        now: float,
+    ) -> None:
+        """Start holding nothing.
+
+        :param slots: requests that the local server runs at once.
+        """
+        self._shared = shared
+        self._service = service
+        self._accepting = True
+        self._flows = flow_store.FlowStore(now)
+        self._feeds = feeds.FeedTable()
+        self._uploads: dict[bytes, float] = {}
+        self._executor = executor.Executor(
+            service=service.name,
+            number=service.number,
+            slots=slots,
+            randomness=shared.randomness,
+            now=now,
+        )
+        self._coordinator = coordinator.Coordinator(
+            shared, service, self._executor, loads, self.load
+        )
+        self._remote = remote.RemoteCalls(shared, service.number)
+
+    @property
+    def flows(self) -> flow_store.FlowStore:
+        """Return the flows held; the value of each is its bucket."""
+        return self._flows
+
+    @property
+    def feeds(self) -> feeds.FeedTable:
+        """Return the feeds of the flows held."""
+        return self._feeds
+
+    @property
+    def coordinator(self) -> coordinator.Coordinator:
+        """Return the part that sees requests through."""
+        return self._coordinator
+
+    @property
+    def server_up(self) -> bool:
+        """Tell whether the local server is believed to answer."""
+        return self._executor.server_up
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is anywhere between arrival and answer."""
+        return (
+            self._executor.idle
+            and not self._coordinator.open
+            and not self._remote.open
+        )
+
+    def configure(
+        self,
+        service: table.ServiceTable,
+        rules: inventory.Service,
+        *,
+        slots: int,
+    ) -> None:
+        """Take over changed rules."""
+        self._service = service
+        self._executor.set_slots(slots)
+        self._coordinator.configure(service, rules['request_classes'])
+
+    def set_accepting(self, accepting: bool) -> None:
+        """Say whether this target may get new work."""
+        self._accepting = accepting
+
+    def load(self, now: float) -> messages.Load:
+        """Return the load of this target."""
+        return self._executor.load(
+            now, flows=len(self._flows), accepting=self._accepting
+        )
+
+    def may_move(self, flow: bytes, now: float) -> bool:
+        """Tell whether nothing of a flow depends on this very server."""
+        if self._coordinator.is_open(flow):
+            return False
+        last_part = self._uploads.get(flow)
+        return last_part is None or now - last_part > TRANSFER_IDLE_S
+
+    def adopt(self, flow: bytes) -> None:
+        """Become the holder of a flow."""
+        if self._flows.get(flow) is None:
+            bucket = flows.bucket_of(flow, key=self._shared.keys.flow_hash)
+            self._flows.put(flow, bucket)
+
+    def release(self, flow: bytes, now: float) -> list[messages.Action]:
+        """Stop holding a flow and end its feeds at the server."""
+        self._flows.pop(flow)
+        self._uploads.pop(flow, None)
+        actions: list[messages.Action] = []
+        for call, feed in self._feeds.of_flow(flow):
+            actions += self._end_feed(call, feed)
+        return actions
+
+    def _end_feed(
+        self, call: int, feed: feeds.FeedState
+    ) -> list[messages.Action]:
+        self._feeds.remove(call)
+        body = self._shared.codec.cancel_feed(feed.request.body, call=call)
+        return [messages.ToServer(self._service.name, call, body)]
+
+    def deliver(
+        self, packet: proxy_header.Packet, now: float
+    ) -> list[messages.Action]:
+        """Handle a caller's datagram of a flow that is held here."""
+        try:
+            request = self._shared.codec.read_caller(packet.payload)
+        except exceptions.MessageError:
+            self._shared.counters['unreadable_from_caller'] += 1
+            return []
+        if isinstance(request, base.Control):
+            return self._on_control(packet.flow, request)
+        if request.observe == 1:
+            return self._on_cancel_feed(packet.flow, request, now)
+        if request.pinned:
+            self._uploads.pop(packet.flow, None)
+            self._uploads[packet.flow] = now
+        return self._coordinator.on_request(packet.flow, request, now)
+
+    def _on_control(
+        self, flow: bytes, control: base.Control
+    ) -> list[messages.Action]:
+        if not control.reset:
+            return []
+        for call, feed in self._feeds.of_flow(flow):
+            if feed.message_id == control.message_id:
+                self._shared.counters['feeds_reset'] += 1
+                return self._end_feed(call, feed)
+        self._coordinator.cancel(flow)
+        return []
+
+    def _on_cancel_feed(
+        self, flow: bytes, request: base.Request, now: float
+    ) -> list[messages.Action]:
+        call = self._feeds.find(flow, request.token)
+        actions: list[messages.Action] = []
+        if call is not None:
+            feed = self._feeds.get(call)
+            actions = self._end_feed(call, feed)
+        plain = request._replace(observe=None)
+        return actions + self._coordinator.on_request(flow, plain, now)
+
+    def on_server_reply(
+        self, reply: base.ServerReply, now: float
+    ) -> list[messages.Action]:
+        """Handle a datagram of the local server."""
+        self._executor.server_back(now)
+        if reply.call is None:
+            return []
+        feed = self._feeds.get(reply.call)
+        if feed is not None:
+            return self._on_notification(reply, feed, now)
+        job, started, refused = self._executor.answered(
+            reply.call, now, shed=reply.shed
+        )
+        actions: list[messages.Action] = list(started)
+        if job is None:
+            # Late: the request was given up. Its number is never used again,
+            # so this answer cannot end at another caller.
+            self._shared.counters['late_answers'] += 1
+            return actions
+        outcome = messages.Outcome.ANSWERED
+        if reply.shed:
+            self._shared.counters['shed_by_server'] += 1
+            outcome = messages.Outcome.NOT_RUN
+        actions += self._finish(job, outcome, reply, now)
+        return actions + self._refuse(refused, now)
+
+    def _on_notification(
+        self, reply: base.ServerReply, feed: feeds.FeedState, now: float
+    ) -> list[messages.Action]:
+        if reply.observe is None:
+            # The server ended or refused the feed. It is asked again, since
+            # the caller's feed lives as long as the caller wants it.
+            feed.confirmed = False
+            feed.resume_at = now + feeds.RESUME_REPEAT_S
+            return []
+        feed.confirmed = True
+        feed.message_id = next(self._shared.calls) % 65536
+        datagram = self._shared.codec.notification(
+            feed.request,
+            reply.body,
+            sequence=feed.next_sequence(),
+            message_id=feed.message_id,
+        )
+        self._flows.get(feed.flow)
+        self._shared.counters['notifications'] += 1
+        return [messages.ToCaller(feed.flow, datagram)]
+
+    def _finish(
+        self,
+        job: executor.Job,
+        outcome: messages.Outcome,
+        reply: base.ServerReply | None,
+        now: float,
+    ) -> list[messages.Action]:
+        body = reply.body if reply else b''
+        if isinstance(job.origin, remote.RemoteCall):
+            answer = self._remote.finish(
+                job.origin, outcome, body, self.load(now)
+            )
+            return self._shared.view.to_peer(job.origin.sender, answer)
+        begins_feed = (
+            outcome == messages.Outcome.ANSWERED
+            and job.origin.request.observe == 0
+            and reply is not None
+            and reply.observe is not None
+        )
+        if begins_feed:
+            return self._begin_feed(job, reply)
+        return self._coordinator.on_local(job, outcome, body, now)
+
+    def _begin_feed(
+        self, job: executor.Job, reply: base.ServerReply
+    ) -> list[messages.Action]:
+        pending = job.origin
+        flow = pending.exchange.flow
+        sequence = 0
+        actions: list[messages.Action] = []
+        former = self._feeds.find(flow, pending.request.token)
+        if former is not None:
+            old = self._feeds.get(former)
+            sequence = old.sequence
+            actions = self._end_feed(former, old)
+        feed = feeds.FeedState(flow, pending.request, sequence)
+        feed.confirmed = True
+        self._feeds.add(job.call, feed)
+        self.adopt(flow)
+        answer = self._shared.codec.answer(
+            pending.request, reply.body, sequence=feed.next_sequence()
+        )
+        return actions + self._coordinator.settle_local(job, answer)
+
+    def _refuse(
+        self, jobs: list[executor.Job], now: float
+    ) -> list[messages.Action]:
+        actions: list[messages.Action] = []
+        for job in jobs:
+            if isinstance(job.origin, remote.RemoteCall):
+                actions += self._finish(
+                    job, messages.Outcome.NOT_RUN, None, now
+                )
+            else:
+                actions += self._coordinator.refuse_job(job, now)
+        return actions
+
+    def on_execute(
+        self, message: messages.Execute, now: float
+    ) -> list[messages.Action]:
+        """Handle a request that another agent hands on."""
+        job, answer = self._remote.admit(message, self.load(now), now)
+        if answer is not None:
+            return self._shared.view.to_peer(message.sender, answer)
+        if job is None:
+            return []
+        if not self._accepting:
+            return self._refuse([job], now)
+        verdict, started, evicted = self._executor.submit(job, now)
+        actions: list[messages.Action] = list(started)
+        if verdict is executor.Verdict.REFUSED:
+            evicted = [job]
+        return actions + self._refuse(evicted, now)
+
+    def server_lost(self, now: float) -> list[messages.Action]:
+        """Note that the local server is gone, and settle what was there."""
+        queued, running = self._executor.server_lost()
+        self._feeds.server_lost(now)
+        actions: list[messages.Action] = []
+        for job in queued:
+            actions += self._finish(job, messages.Outcome.NOT_RUN, None, now)
+        for job in running:
+            actions += self._finish(job, messages.Outcome.UNKNOWN, None, now)
+        return actions
+
+    def resume_feed(
+        self, flow: bytes, feed: messages.Feed, now: float
+    ) -> list[messages.Action]:
+        """Take over a feed from the flow's former holder."""
+        request = self._shared.codec.read_caller(feed.request)
+        if self._feeds.find(flow, request.token) is not None:
+            return []
+        state = feeds.FeedState(flow, request, feed.sequence)
+        call = next(self._shared.calls)
+        self._feeds.add(call, state)
+        return self._register(call, state, now)
+
+    def _register(
+        self, call: int, feed: feeds.FeedState, now: float
+    ) -> list[messages.Action]:
+        feed.resume_at = now + feeds.RESUME_REPEAT_S
+        return [messages.ToServer(self._service.name, call, feed.request.body)]
+
+    def tick(self, now: float) -> list[messages.Action]:
+        """Time out what hangs and forget what is over."""
+        started, refused, lost = self._executor.tick(now)
+        actions: list[messages.Action] = list(started)
+        actions += self._refuse(refused, now)
+        for job in lost:
+            self._shared.counters['answers_timed_out'] += 1
+            actions += self._finish(job, messages.Outcome.UNKNOWN, None, now)
+        if self._executor.server_up:
+            for call in self._feeds.unconfirmed(now):
+                actions += self._register(call, self._feeds.get(call), now)
+        actions += self._coordinator.tick(now)
+        self._remote.expire(now)
+        self._flows.expire(now, self._must_keep)
+        self._forget_uploads(now)
+        return actions
+
+    def _must_keep(self, flow: bytes, bucket: int) -> bool:
+        return self._feeds.has(flow) or self._coordinator.is_open(flow)
+
+    def _forget_uploads(self, now: float) -> None:
+        while self._uploads:
+            flow = next(iter(self._uploads))
+            if now - self._uploads[flow] <= TRANSFER_IDLE_S:
+                break
+            del self._uploads[flow]
--- /dev/null
+++ b/packages/teaseldock/teaseldock/owner.py
@@ -0,0 +1,220 @@
+"""Find or place the flows of owned buckets, and hand their packets on."""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock import directory
+from teaseldock import flow as flows
+from teaseldock import messages
+from teaseldock import placement
+from teaseldock import proxy_header
+
+if typing.TYPE_CHECKING:
+    from teaseldock import context
+    from teaseldock import holder
+    from teaseldock import table
+
+#: Times that agents hand one packet on before it is dropped as looping.
+MAX_HOPS = 4
+
+
+class Owner:
+    """Act for the buckets of one service that this agent owns."""
+
+    def __init__(
+        self,
+        shared: context.Context,
+        service: table.ServiceTable,
+        held: holder.Holder,
+        loads: placement.LoadView,
+        *,
+        now: float,
+    ) -> None:
+        """Start owning nothing."""
+        self._shared = shared
+        self._service = service
+        self._holder = held
+        self._loads = loads
+        self._directory = directory.Directory(now)
+
+    @property
+    def entries(self) -> int:
+        """Return how many flows of owned buckets others hold."""
+        return len(self._directory)
+
+    @property
+    def searching(self) -> int:
+        """Return how many flows are being searched for."""
+        return len(self._directory.searches)
+
+    def refresh(self, service: table.ServiceTable, now: float) -> None:
+        """Take over a changed view."""
+        self._service = service
+        own = self._shared.name
+        owned = {
+            bucket
+            for bucket in range(flows.BUCKET_COUNT)
+            if self._shared.view.owner(service, bucket) == own
+        }
+        self._directory.own(owned, now)
+
+    def hand_on(
+        self, packet: proxy_header.Packet, name: str, role: proxy_header.Role
+    ) -> list[messages.Action]:
+        """Send a packet to another agent of the service."""
+        if packet.hops >= MAX_HOPS:
+            # Two agents whose views differ would send a packet to and fro.
+            self._shared.counters['dropped_hops'] += 1
+            return []
+        endpoint = self._shared.view.endpoint(name)
+        if endpoint is None:
+            self._shared.counters['dropped_no_endpoint'] += 1
+            return []
+        sent = packet._replace(
+            role=role,
+            hops=packet.hops + 1,
+            generation=self._shared.view.generation,
+        )
+        return [messages.ToAgent(endpoint.host, endpoint.port, sent)]
+
+    def on_packet(
+        self, packet: proxy_header.Packet, now: float
+    ) -> list[messages.Action]:
+        """Handle a packet of a flow that is not held here."""
+        bucket = flows.bucket_of(packet.flow, key=self._shared.keys.flow_hash)
+        owner = self._shared.view.owner(self._service, bucket)
+        newer = packet.generation > self._shared.view.generation
+        if owner not in (None, self._shared.name) and not newer:
+            return self.hand_on(packet, owner, proxy_header.Role.OWNER)
+        known = self._directory.holder_of(packet.flow)
+        if known is not None and not self._shared.view.is_dead(known):
+            return self.hand_on(packet, known, proxy_header.Role.HOLDER)
+        if known is not None:
+            self._directory.forget(packet.flow)
+        if self._directory.must_search(bucket, now):
+            return self._search(packet, bucket, now)
+        return self._place(packet, now)
+
+    def _search(
+        self, packet: proxy_header.Packet, bucket: int, now: float
+    ) -> list[messages.Action]:
+        peers = self._shared.view.peers(self._service)
+        if not peers:
+            return self._place(packet, now)
+        begun = self._directory.search(packet, bucket, peers, now)
+        if begun is None:
+            return []
+        self._shared.counters['searches'] += 1
+        return self._ask(packet.flow, begun)
+
+    def _ask(
+        self, flow: bytes, search: directory.Search
+    ) -> list[messages.Action]:
+        message = messages.Locate(
+            self._shared.name, self._service.number, flow
+        )
+        actions: list[messages.Action] = []
+        for name in sorted(search.unanswered):
+            actions += self._shared.view.to_peer(name, message)
+        return actions
+
+    def on_located(
+        self, message: messages.Located, now: float
+    ) -> list[messages.Action]:
+        """Handle a peer's answer to a search."""
+        search = self._directory.searches.get(message.flow)
+        if search is None:
+            return []
+        if message.held:
+            return self._found(message.flow, message.sender)
+        search.unanswered.discard(message.sender)
+        if search.unanswered:
+            return []
+        return self._place_all(message.flow, now)
+
+    def _found(self, flow: bytes, name: str) -> list[messages.Action]:
+        self._directory.learn(flow, name)
+        actions: list[messages.Action] = []
+        for packet in self._directory.finish(flow):
+            actions += self.hand_on(packet, name, proxy_header.Role.HOLDER)
+        return actions
+
+    def _place_all(self, flow: bytes, now: float) -> list[messages.Action]:
+        actions: list[messages.Action] = []
+        for packet in self._directory.finish(flow):
+            if flow in self._holder.flows:
+                actions += self._holder.deliver(packet, now)
+                continue
+            known = self._directory.holder_of(flow)
+            if known is not None:
+                role = proxy_header.Role.HOLDER
+                actions += self.hand_on(packet, known, role)
+                continue
+            actions += self._place(packet, now)
+        return actions
+
+    def _place(
+        self, packet: proxy_header.Packet, now: float
+    ) -> list[messages.Action]:
+        """Choose the holder of a new flow."""
+        excluded = self._shared.view.excluded
+        name = self._shared.name
+        if name in self._service.weights:
+            name = self._loads.for_flow(
+                self._holder.load(now),
+                name,
+                lambda other: other not in excluded,
+                now,
+            )
+        self._shared.counters['flows_placed'] += 1
+        if name == self._shared.name:
+            self._holder.adopt(packet.flow)
+            return self._holder.deliver(packet, now)
+        self._loads.sent(name)
+        self._directory.learn(packet.flow, name)
+        return self.hand_on(packet, name, proxy_header.Role.PLACED)
+
+    def on_announce(
+        self, message: messages.Announce, now: float
+    ) -> list[messages.Action]:
+        """Learn which flows a peer holds."""
+        elsewhere = [
+            flow
+            for flow in message.flows
+            if not self._learn(flow, message.sender)
+        ]
+        answer = messages.Announced(
+            self._shared.name, self._service.number, message.batch, elsewhere
+        )
+        return self._shared.view.to_peer(message.sender, answer)
+
+    def _learn(self, flow: bytes, name: str) -> bool:
+        """Note a holder, unless another living target holds the flow."""
+        if flow in self._holder.flows:
+            return False
+        known = self._directory.holder_of(flow)
+        if known not in (None, name):
+            if known not in self._shared.view.excluded:
+                return False
+        self._directory.learn(flow, name)
+        return True
+
+    def forget(self, flow: bytes) -> None:
+        """Remove the entry of a flow that is now held here."""
+        self._directory.forget(flow)
+
+    def tick(self, now: float) -> list[messages.Action]:
+        """Ask silent peers again; place what nobody claims."""
+        actions: list[messages.Action] = []
+        for flow, search in self._directory.due(now):
+            alive = set(self._shared.view.peers(self._service))
+            search.unanswered &= alive
+            if search.rounds > directory.SEARCH_ROUNDS:
+                search.unanswered.clear()
+            if search.unanswered:
+                actions += self._ask(flow, search)
+            else:
+                actions += self._place_all(flow, now)
+        self._directory.expire(now)
+        return actions
--- /dev/null
+++ b/packages/teaseldock/teaseldock/server_probe.py
@@ -0,0 +1,46 @@
+"""Decide whether a backend server answers at all."""
+
+from __future__ import annotations
+
+import enum
+
+#: Seconds between two probes of a silent server.
+PROBE_INTERVAL_S = 1.0
+#: Probes without any sign of life after which the server is lost.
+PROBES_UNANSWERED = 3
+
+
+class Step(enum.Enum):
+    """What the edge must do now."""
+
+    NOTHING = 'nothing'
+    PROBE = 'probe'
+    LOST = 'lost'
+
+
+class ServerProbe:
+    """Count probes that nothing answered.
+
+    The server's own health endpoint is not asked: it may say well while
+    requests fail. Any datagram of the protocol's port is a sign of life.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start believing that the server is well."""
+        self._next_at = now + PROBE_INTERVAL_S
+        self._unanswered = 0
+
+    def heard(self, now: float) -> None:
+        """Note a datagram of the server."""
+        self._unanswered = 0
+        self._next_at = now + PROBE_INTERVAL_S
+
+    def step(self, now: float) -> Step:
+        """Return what is due."""
+        if now < self._next_at:
+            return Step.NOTHING
+        self._next_at = now + PROBE_INTERVAL_S
+        self._unanswered += 1
+        if self._unanswered == PROBES_UNANSWERED + 1:
+            return Step.LOST
+        return Step.PROBE
--- /dev/null
+++ b/packages/teaseldock/teaseldock/target.py
@@ -0,0 +1,225 @@
+"""Join owner, holder and drain of one service at one instance."""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock import announcer
+from teaseldock import drain
+from teaseldock import holder
+from teaseldock import messages
+from teaseldock import owner
+from teaseldock import placement
+from teaseldock import proxy_header
+
+if typing.TYPE_CHECKING:
+    from teaseldock.codecs import base
+    from teaseldock import context
+    from teaseldock import inventory
+    from teaseldock import table
+
+
+class Target:
+    """An instance in its part of serving one service."""
+
+    def __init__(
+        self,
+        shared: context.Context,
+        service: table.ServiceTable,
+        rules: inventory.Service,
+        *,
+        slots: int,
+        now: float,
+    ) -> None:
+        """Start holding and owning nothing.
+
+        :param rules: the service's entry in the rules.
+        :param slots: requests that the local server runs at once.
+        """
+        self._shared = shared
+        self._service = service
+        self._leaving = False
+        self._loads = placement.LoadView(
+            weights=service.weights, randomness=shared.randomness
+        )
+        self._holder = holder.Holder(
+            shared, service, self._loads, slots=slots, now=now
+        )
+        self._owner = owner.Owner(
+            shared, service, self._holder, self._loads, now=now
+        )
+        self._drain = drain.Drain(shared, service, self._holder)
+        self._announcer = announcer.Announcer(shared, service, self._holder)
+        self.refresh(service, rules, slots=slots, now=now)
+
+    @property
+    def service(self) -> table.ServiceTable:
+        """Return the service's table."""
+        return self._service
+
+    @property
+    def holder(self) -> holder.Holder:
+        """Return the part that holds flows."""
+        return self._holder
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether this target gets no new work."""
+        return self._leaving
+
+    @property
+    def drained(self) -> bool:
+        """Tell whether nothing would be cut by stopping now."""
+        alone = not self._shared.view.peers(self._service)
+        return self._holder.idle and (alone or not self._drain.moving)
+
+    def status(self, now: float) -> dict[str, typing.Any]:
+        """Return figures for the status page."""
+        load = self._holder.load(now)
+        return {
+            'service': self._service.name,
+            'leaving': self._leaving,
+            'flows': load.flows,
+            'feeds': len(self._holder.feeds),
+            'running': load.running,
+            'queued': load.queued,
+            'slots': load.slots,
+            'server_up': self._holder.server_up,
+            'directory_entries': self._owner.entries,
+            'searching': self._owner.searching,
+            'announcements_waiting': self._announcer.waiting,
+        }
+
+    def refresh(
+        self,
+        service: table.ServiceTable,
+        rules: inventory.Service,
+        *,
+        slots: int,
+        now: float,
+    ) -> None:
+        """Take over changed rules or membership."""
+        self._service = service
+        self._loads.set_weights(service.weights)
+        self._holder.configure(service, rules, slots=slots)
+        self._drain.set_service(service)
+        self._owner.refresh(service, now)
+        self._announcer.refresh(service)
+        own = self._shared.name
+        leaving = (
+            own in self._shared.view.excluded or own not in service.weights
+        )
+        self._set_leaving(leaving)
+
+    def _set_leaving(self, leaving: bool) -> None:
+        if self._leaving and not leaving:
+            self._drain.stop()
+        self._leaving = leaving
+        self._holder.set_accepting(not leaving)
+
+    def withdraw(self) -> None:
+        """Leave because the rules no longer name this target."""
+        self._set_leaving(True)
+
+    def on_packet(
+        self, packet: proxy_header.Packet, now: float
+    ) -> list[messages.Action]:
+        """Handle a caller's packet."""
+        if packet.role == proxy_header.Role.CHALLENGER:
+            return self._holder.deliver(packet, now)
+        if packet.flow in self._holder.flows:
+            return self._on_held(packet, now)
+        moved_to = self._drain.successor_of(packet.flow)
+        if moved_to is not None:
+            role = proxy_header.Role.HOLDER
+            return self._owner.hand_on(packet, moved_to, role)
+        if packet.role == proxy_header.Role.OWNER or self._leaving:
+            return self._owner.on_packet(packet, now)
+        self._holder.adopt(packet.flow)
+        self._owner.forget(packet.flow)
+        return self._holder.deliver(packet, now)
+
+    def _on_held(
+        self, packet: proxy_header.Packet, now: float
+    ) -> list[messages.Action]:
+        if not self._leaving or not self._holder.may_move(packet.flow, now):
+            return self._holder.deliver(packet, now)
+        successor = self._drain.target_of(packet.flow)
+        if successor is None:
+            return self._holder.deliver(packet, now)
+        actions = self._drain.move(packet.flow, now)
+        role = proxy_header.Role.HOLDER
+        return actions + self._owner.hand_on(packet, successor, role)
+
+    def on_message(
+        self, message: typing.NamedTuple, now: float
+    ) -> list[messages.Action]:
+        """Handle a message of another agent of the service."""
+        match message:
+            case messages.Execute():
+                self._loads.heard(message.sender, message.load, now)
+                return self._holder.on_execute(message, now)
+            case messages.Executed():
+                self._loads.heard(message.sender, message.load, now)
+                return self._holder.coordinator.on_executed(message, now)
+            case messages.Locate():
+                return self._on_locate(message)
+            case messages.Located():
+                return self._owner.on_located(message, now)
+            case messages.Announce():
+                return self._owner.on_announce(message, now)
+            case messages.Announced():
+                return self._announcer.on_announced(message, now)
+            case messages.Transfer():
+                return self._on_transfer(message, now)
+            case messages.Transferred():
+                return self._drain.on_transferred(message, now)
+        self._shared.counters['messages_unexpected'] += 1
+        return []
+
+    def heard_load(self, sender: str, load: messages.Load, now: float) -> None:
+        """Take a peer's report."""
+        self._loads.heard(sender, load, now)
+
+    def _on_locate(self, message: messages.Locate) -> list[messages.Action]:
+        answer = messages.Located(
+            self._shared.name,
+            self._service.number,
+            message.flow,
+            message.flow in self._holder.flows,
+        )
+        return self._shared.view.to_peer(message.sender, answer)
+
+    def _on_transfer(
+        self, message: messages.Transfer, now: float
+    ) -> list[messages.Action]:
+        self._holder.adopt(message.flow)
+        self._owner.forget(message.flow)
+        coordinator = self._holder.coordinator
+        coordinator.import_results(message.flow, message.results, now)
+        actions: list[messages.Action] = []
+        for feed in message.feeds:
+            actions += self._holder.resume_feed(message.flow, feed, now)
+        answer = messages.Transferred(
+            self._shared.name, self._service.number, message.flow
+        )
+        return actions + self._shared.view.to_peer(message.sender, answer)
+
+    def on_server_reply(
+        self, reply: base.ServerReply, now: float
+    ) -> list[messages.Action]:
+        """Handle a datagram of the local server."""
+        return self._holder.on_server_reply(reply, now)
+
+    def server_lost(self, now: float) -> list[messages.Action]:
+        """Note that the local server is gone."""
+        return self._holder.server_lost(now)
+
+    def tick(self, now: float) -> list[messages.Action]:
+        """Do what is due; to be called several times a second."""
+        actions = self._holder.tick(now)
+        actions += self._owner.tick(now)
+        actions += self._announcer.tick(now)
+        if self._leaving:
+            actions += self._drain.tick(now)
+        return actions
--- /dev/null
+++ b/packages/teaseldock/teaseldock/view.py
@@ -0,0 +1,143 @@
+"""Join configuration and membership into one view that routing reads."""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock import flow
+from teaseldock import inventory
+from teaseldock import messages
+from teaseldock import table
+
+if typing.TYPE_CHECKING:
+    from teaseldock import configuration
+    from teaseldock import membership
+
+
+class View:
+    """Answer who owns a bucket, who may get new work, and where they are."""
+
+    def __init__(
+        self,
+        *,
+        config: configuration.Configuration,
+        members: membership.Membership,
+    ) -> None:
+        """Read both sources for the first time.
+
+        :param config: what operators publish.
+        :param members: which processes live.
+        """
+        self._config = config
+        self._members = members
+        self._table = table.Table(config.inventory)
+        self._inventory: inventory.Inventory | None = None
+        self._seen_version = -1
+        self._excluded: frozenset[str] = frozenset()
+        self._dead: frozenset[str] = frozenset()
+        self._version = 0
+        self.refresh()
+
+    @property
+    def table(self) -> table.Table:
+        """Return the bucket table in force."""
+        return self._table
+
+    @property
+    def inventory(self) -> inventory.Inventory:
+        """Return the inventory in force."""
+        return self._config.inventory
+
+    @property
+    def generation(self) -> int:
+        """Return the revision in force."""
+        return self._config.generation
+
+    @property
+    def version(self) -> int:
+        """Return a number that rises whenever an answer may change."""
+        return self._version
+
+    @property
+    def excluded(self) -> frozenset[str]:
+        """Return the instances that get no new work."""
+        return self._excluded
+
+    def refresh(self) -> bool:
+        """Take over changes of the sources.
+
+        :returns: whether an answer may have changed.
+        """
+        current = self._config.inventory
+        if (
+            current is self._inventory
+            and self._members.version == self._seen_version
+        ):
+            return False
+        if current is not self._inventory:
+            self._table = table.Table(current, self._table)
+            self._inventory = current
+        self._seen_version = self._members.version
+        names = current.instances
+        self._dead = frozenset(
+            name for name in names if self._members.is_dead(name)
+        )
+        self._excluded = self._dead.union(
+            name
+            for name in names
+            if name in current.leaving or self._members.is_leaving(name)
+        )
+        self._version += 1
+        return True
+
+    def is_dead(self, name: str) -> bool:
+        """Tell whether an instance's agent is believed dead."""
+        return name in self._dead
+
+    def owner(self, service: table.ServiceTable, bucket: int) -> str | None:
+        """Return the instance whose agent decides about a bucket."""
+        return service.owner(bucket, self._excluded)
+
+    def endpoint(self, name: str) -> flow.Endpoint | None:
+        """Return where the agent of an instance listens."""
+        instance = self._config.inventory.instances.get(name)
+        if instance is not None:
+            return inventory.peer_endpoint(instance)
+        member = self._members.get(name)
+        if member is not None:
+            return flow.Endpoint(member.host, member.port)
+        return None
+
+    def peers(self, service: table.ServiceTable) -> list[str]:
+        """Return the living instances of a service, oneself not among them.
+
+        Leaving ones are included: they still hold flows.
+        """
+        own = self._members.own.name
+        return [
+            name
+            for name in service.weights
+            if name != own and name not in self._dead
+        ]
+
+    def incarnation(self, name: str) -> int:
+        """Return the incarnation last heard of, or 0."""
+        member = self._members.get(name)
+        return member.incarnation if member else 0
+
+    def own_incarnation(self) -> int:
+        """Return this process's incarnation."""
+        return self._members.own.incarnation
+
+    def own_incarnations(self) -> set[int]:
+        """Return all incarnations this process has used since its start."""
+        return self._members.own_incarnations
+
+    def to_peer(
+        self, name: str, message: typing.NamedTuple
+    ) -> list[messages.Action]:
+        """Return the action that sends a message to an instance's agent."""
+        endpoint = self.endpoint(name)
+        if endpoint is None:
+            return []
+        return [messages.ToPeer(endpoint.host, endpoint.port, message)]
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,200 @@
+"""Show a deployment through its planned changes, and judge the promises."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import sys
+import time
+import typing
+
+from standins import deployment
+from standins import judge
+
+#: Callers of each kind: segment of the path, count, mean pause in seconds.
+WORKLOADS = {
+    'prairie': (
+        ('dispatch', 'orders', 30, 0.15),
+        ('dispatch', 'feed', 20, 0.0),
+        ('tickets', 'scans', 12, 0.4),
+    ),
+    'zilina': (
+        ('payroll', 'hours', 30, 0.15),
+        ('payroll', 'feed', 20, 0.0),
+        ('documents', 'contracts', 12, 0.4),
+    ),
+}
+DELAYS_S = {'prairie': 0.0045, 'zilina': 0.0015}
+NETWORKS = {'prairie': 20, 'zilina': 30}
+#: Share of the run's time at which each step is taken.
+STEPS = (0.1, 0.25, 0.4, 0.5, 0.6, 0.75)
+#: Seconds after the callers' end for their last answers.
+LAST_ANSWERS_S = 30.0
+PROMISES = ('broken_flows', 'misrouted', 'ran_twice', 'untrue_refusals')
+IN_FORCE_LIMIT_S = 4.0
+CONTROL_LIMIT = 10_000
+
+
+def say(text: str) -> None:
+    """Show progress on standard error."""
+    print(f'{time.strftime("%H:%M:%S")} {text}', file=sys.stderr, flush=True)
+
+
+def start_callers(
+    dep: deployment.Deployment, name: str, seconds: float
+) -> list[str]:
+    """Start the callers of a deployment and return their process names."""
+    started = []
+    addresses = {
+        item['name']: f'{item["address"]}:{item["port"]}'
+        for item in dep.rules['services']
+    }
+    for service, kind, callers, pause_s in WORKLOADS[name]:
+        options = {
+            'service': service,
+            'kind': kind,
+            'callers': callers,
+            'pause_s': pause_s or 1.0,
+            'seconds': seconds,
+            'address': addresses[service],
+            'seed': dep.seed,
+            'record': str(dep.folder / f'{service}-{kind}.record'),
+        }
+        process = f'callers-{service}-{kind}'
+        dep.spawn(
+            process,
+            sys.executable,
+            '-m',
+            'standins.caller',
+            json.dumps(options),
+        )
+        started.append(process)
+    return started
+
+
+def _add_target(dep: deployment.Deployment) -> None:
+    first = dep.rules['services'][0]
+    instance = {
+        'name': f'{first["name"]}-new',
+        'data_centre': dep.register['data_centres'][0]['name'],
+        'address': f'127.{dep.network}.1.99',
+        'peer_port': 5700,
+        'slots': dep.register['instances'][0]['slots'],
+        'connections': 2000,
+    }
+    dep.register['instances'].append(instance)
+    dep.publish('register', dep.register)
+    first['targets'].append(
+        {'instance': instance['name'], 'port': 5683, 'weight': 1.0}
+    )
+    dep.start_server(instance)
+    dep.start_agent(instance)
+    time.sleep(1.0)
+    dep.publish('rules', dep.rules)
+
+
+def steps(dep: deployment.Deployment) -> list[typing.Callable[[], None]]:
+    """Return the planned and unplanned changes, in order."""
+    drained = dep.rules['services'][0]['targets'][0]['instance']
+
+    def drain() -> None:
+        say(f'drain {drained} by the rules')
+        dep.rules['leaving'] = [drained]
+        dep.publish('rules', dep.rules)
+
+    def replace_gracefully() -> None:
+        say('replace balancer-1 with SIGTERM')
+        centre = dep.register['data_centres'][0]['name']
+        dep.start_balancer()
+        dep.list_instance(
+            'balancer-1',
+            'balancer',
+            centre,
+            dep.balancer_address('balancer-1'),
+            deployment.BALANCER_PEER_PORT,
+            leaving=True,
+        )
+        dep.signal('balancer-1', signal.SIGTERM)
+
+    def replace_killed() -> None:
+        say('replace balancer-2 with SIGKILL')
+        dep.kill('balancer-2')
+        dep.unlist('balancer-2')
+        dep.start_balancer()
+
+    def add_target() -> None:
+        say('add a target')
+        _add_target(dep)
+
+    def platform_down() -> None:
+        say('configuration service down')
+        dep.set_platform(mode='down')
+
+    def platform_up() -> None:
+        say('configuration service up')
+        dep.set_platform(mode='up')
+
+    return [
+        drain,
+        replace_gracefully,
+        replace_killed,
+        add_target,
+        platform_down,
+        platform_up,
+    ]
+
+
+def run(name: str, seconds: float, seed: int) -> dict[str, typing.Any]:
+    """Run a deployment and return the verdict."""
+    register, rules = deployment.load_example(name)
+    dep = deployment.Deployment(
+        register,
+        rules,
+        folder=pathlib.Path('build') / f'demo-{name}',
+        ports=deployment.Ports(5500, 5501, 5502),
+        network=NETWORKS[name],
+        seed=seed,
+        delay_s=DELAYS_S[name],
+    )
+    try:
+        say(f'start {name}: {len(register["instances"])} targets')
+        dep.start()
+        callers = start_callers(dep, name, seconds)
+        began = time.monotonic()
+        for share, step in zip(STEPS, steps(dep)):
+            time.sleep(max(0.0, began + share * seconds - time.monotonic()))
+            step()
+        for process in callers:
+            limit = began + seconds + LAST_ANSWERS_S - time.monotonic()
+            dep.processes[process].wait(timeout=max(1.0, limit))
+        verdict = judge.judge(dep.folder, dep.rules)
+        statuses = dep.statuses()
+        verdict['config_in_force_s'] = round(dep.in_force_seconds(), 3)
+        verdict['control_bytes_per_s_max'] = max(
+            item['control_bytes_per_s_max'] for item in statuses.values()
+        )
+        return verdict
+    finally:
+        dep.stop()
+
+
+def main() -> int:
+    """Run the demo as the environment says and print one line of JSON."""
+    name = os.environ.get('DEMO_DEPLOYMENT', 'prairie')
+    seconds = float(os.environ.get('DEMO_SECONDS', '20'))
+    verdict = run(name, seconds, int(os.environ.get('DEMO_SEED', '1')))
+    problems = verdict.pop('problems')
+    for problem in problems:
+        say(f'problem: {problem}')
+    kept = all(verdict[item] == 0 for item in PROMISES)
+    kept = kept and verdict['requests'] > 0
+    kept = kept and verdict['config_in_force_s'] <= IN_FORCE_LIMIT_S
+    kept = kept and verdict['control_bytes_per_s_max'] <= CONTROL_LIMIT
+    print(json.dumps(verdict))
+    return 0 if kept else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
