Keep block-wise uploads of different callers apart with a Request-Tag

Cause: all callers reach a server from the agent's address, so blocks of two uploads to one path were joined into one there (symptom: 5.00 and crossed scans). Ruled out: tokens (unique for each call, checked in the log). Conclusion: RFC 9175's Request-Tag is what an intermediary needs here.

--- a/packages/teaseldock-agent/teaseldock_agent/application.py
+++ b/packages/teaseldock-agent/teaseldock_agent/application.py
@@ -72,7 +72,9 @@
         link = self._links.get(action.service)
         if link is None:
             return
-        datagram = self._codec.for_server(action.body, call=action.call)
+        datagram = self._codec.for_server(
+            action.body, call=action.call, flow=action.flow
+        )
         link.send(datagram, call=action.call)
 
     def on_tick(self, now: float) -> None:
--- a/packages/teaseldock/teaseldock/codecs/base.py
+++ b/packages/teaseldock/teaseldock/codecs/base.py
@@ -80,8 +80,11 @@
         """
 
     @abc.abstractmethod
-    def for_server(self, body: bytes, *, call: int) -> bytes:
-        """Return a caller's request as it goes to a server."""
+    def for_server(self, body: bytes, *, call: int, flow: bytes) -> bytes:
+        """Return a caller's request as it goes to a server.
+
+        :param flow: keeps transfers in parts of different callers apart.
+        """
 
     @abc.abstractmethod
     def cancel_feed(self, body: bytes, *, call: int) -> bytes:
--- a/packages/teaseldock/teaseldock/codecs/coap.py
+++ b/packages/teaseldock/teaseldock/codecs/coap.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import typing
 
 import aiocoap
@@ -47,6 +48,10 @@
     )
 
 
+def _request_tag(flow: bytes, tags: bytes) -> bytes:
+    return hashlib.blake2b(flow + tags, digest_size=8).digest()
+
+
 def _deadline(queries: typing.Iterable[str]) -> float | None:
     for query in queries:
         if not query.startswith(_DEADLINE_QUERY):
@@ -91,14 +96,22 @@
             body=payload,
         )
 
-    def for_server(self, body: bytes, *, call: int) -> bytes:
+    def for_server(self, body: bytes, *, call: int, flow: bytes) -> bytes:
         """Return the request under the call's number, without its Echo.
 
         The token is the call's number, never used twice, so that an answer
         which comes late or crossed can't be taken for another request's.
+
+        All callers reach the server from this agent's address. Blocks of two
+        uploads to one path would be joined into one there, which shows as
+        5.00 or as an answer to the wrong scan; a Request-Tag of the flow
+        keeps them apart (RFC 9175 section 3).
         """
         message = _to_send(body)
         message.opt.echo = None
+        if message.opt.block1 is not None:
+            tags = b''.join(message.opt.request_tag or ())
+            message.opt.request_tag = [_request_tag(flow, tags)]
         return self._numbered(message, call)
 
     def cancel_feed(self, body: bytes, *, call: int) -> bytes:
--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -258,6 +258,7 @@
                 call,
                 pending.weight,
                 pending.deadline,
+                pending.exchange.flow,
                 pending.request.body,
                 pending,
             )
--- a/packages/teaseldock/teaseldock/executor.py
+++ b/packages/teaseldock/teaseldock/executor.py
@@ -43,12 +43,14 @@
 
     :ivar call: number within this agent's incarnation.
     :ivar deadline: time by which an answer is of use, or infinity.
+    :ivar flow: flow key, or empty for a request handed on to here.
     :ivar origin: what the submitter needs to find its state again.
     """
 
     call: int
     weight: float
     deadline: float
+    flow: bytes
     body: bytes
     origin: typing.Any
 
@@ -178,7 +180,7 @@
         self._running[job.call] = (job, now)
         self._work.append((now, job.weight))
         self._work_sum += job.weight
-        return messages.ToServer(self._service, job.call, job.body)
+        return messages.ToServer(self._service, job.call, job.flow, job.body)
 
     def _forget_work(self, now: float) -> None:
         while self._work and self._work[0][0] < now - WORK_WINDOW_S:
--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -137,7 +137,7 @@
     ) -> list[messages.Action]:
         self._feeds.remove(call)
         body = self._shared.codec.cancel_feed(feed.request.body, call=call)
-        return [messages.ToServer(self._service.name, call, body)]
+        return [messages.ToServer(self._service.name, call, feed.flow, body)]
 
     def deliver(
         self, packet: proxy_header.Packet, now: float
@@ -328,7 +328,11 @@
         self, call: int, feed: feeds.FeedState, now: float
     ) -> list[messages.Action]:
         feed.resume_at = now + feeds.RESUME_REPEAT_S
-        return [messages.ToServer(self._service.name, call, feed.request.body)]
+        return [
+            messages.ToServer(
+                self._service.name, call, feed.flow, feed.request.body
+            )
+        ]
 
     def tick(self, now: float) -> list[messages.Action]:
         """Time out what hangs and forget what is over."""
--- a/packages/teaseldock/teaseldock/messages.py
+++ b/packages/teaseldock/teaseldock/messages.py
@@ -265,10 +265,12 @@
     """Action: send a request to the server of a service on this instance.
 
     :ivar call: names the answer; never reused within an incarnation.
+    :ivar flow: flow key, or empty for a request that another agent handed on.
     """
 
     service: str
     call: int
+    flow: bytes
     body: bytes
 
 
--- a/packages/teaseldock/teaseldock/remote.py
+++ b/packages/teaseldock/teaseldock/remote.py
@@ -75,6 +75,7 @@
             next(self._shared.calls),
             message.weight,
             deadline,
+            b'',
             message.body,
             call,
         )
