Drive the decisions in virtual time; affinity and at-most-once under kills

Symptom: some flows get no answer for good after a target said it leaves. Sequence: an owner placed flows at the target just before it heard of the leaving; the target sent the packets back; the owner's entry sent them there again, until the hop bound dropped them. Ruled out: dead balancers, exit before drained (the target was alive, its counters empty). Change: a packet comes back marked RETURNED, and the owner forgets its entry. After: 640 of 640 answered.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measure the decisions in virtual time, and the programs' own speed."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,411 @@
+"""Fake codec, backend servers and callers for runs in virtual time."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import msgspec
+
+from teaseldock.codecs import base
+from teaseldock import exceptions
+
+if typing.TYPE_CHECKING:
+    from bench import world
+
+#: Requests beyond its slots that a server holds before it sheds.
+SERVER_BACKLOG = 4
+#: Seconds between two notifications of a feed.
+FEED_S = 1.0
+#: Seconds until a caller repeats a message, doubled each time (RFC 7252).
+CALLER_REPEAT_S = 2.0
+CALLER_REPEATS = 4
+#: Seconds without a notification after which a feed counts as broken.
+FEED_GAP_S = 6.0
+
+_REQUEST = 0
+_CONTROL = 1
+_REPLY = 2
+_ANSWER = 3
+
+
+class Answer(typing.NamedTuple):
+    """What a caller receives.
+
+    :ivar kind: ``answer``, ``note``, ``challenge``, ``not run`` or
+        ``outcome unknown``.
+    """
+
+    message_id: int
+    token: bytes
+    kind: str
+    value: bytes
+    sequence: int
+    retry_after_s: int
+    identity: str
+
+
+class FakeCodec(base.Codec):
+    """Carry the same facts as CoAP, at a fraction of the time."""
+
+    def read_caller(self, payload: bytes) -> base.Request | base.Control:
+        """Read a request or a control datagram."""
+        try:
+            kind, *fields = msgspec.msgpack.decode(payload)
+            if kind == _CONTROL:
+                return base.Control(*fields)
+            mid, token, method, segment, echo, observe, deadline, _ = fields
+        except (msgspec.DecodeError, ValueError, TypeError) as error:
+            raise exceptions.MessageError(
+                'fake', repr(error), remedy='none'
+            ) from error
+        return base.Request(
+            exchange=mid.to_bytes(4, 'big') + token,
+            token=token,
+            method=method,
+            segment=segment,
+            idempotent=method != 'POST',
+            echo=echo,
+            observe=observe,
+            pinned=False,
+            deadline_s=deadline,
+            body=payload,
+        )
+
+    def for_server(self, body: bytes, *, call: int, flow: bytes) -> bytes:
+        """Return the request with its call."""
+        return msgspec.msgpack.encode([call, body])
+
+    def cancel_feed(self, body: bytes, *, call: int) -> bytes:
+        """Return the registration with Observe 1."""
+        fields = msgspec.msgpack.decode(body)
+        fields[6] = 1
+        return msgspec.msgpack.encode(fields)
+
+    def read_server(self, payload: bytes) -> base.ServerReply:
+        """Read a reply."""
+        _, call, observe, shed, _ = msgspec.msgpack.decode(payload)
+        return base.ServerReply(call, observe, shed, b'', payload)
+
+    def answer(
+        self, request: base.Request, body: bytes, *, sequence: int | None
+    ) -> bytes:
+        """Return a server's answer for the caller."""
+        identity = msgspec.msgpack.decode(body)[4]
+        return self._to_caller(request, 'answer', b'', sequence or 0, identity)
+
+    def notification(
+        self,
+        request: base.Request,
+        body: bytes,
+        *,
+        sequence: int,
+        message_id: int,
+    ) -> bytes:
+        """Return a notification for the caller."""
+        identity = msgspec.msgpack.decode(body)[4]
+        return self._to_caller(request, 'note', b'', sequence, identity)
+
+    def challenge(self, request: base.Request, value: bytes) -> bytes:
+        """Return a challenge for the caller."""
+        return self._to_caller(request, 'challenge', value, 0, '')
+
+    def refusal(
+        self,
+        request: base.Request,
+        reason: base.Refusal,
+        *,
+        retry_after_s: int,
+    ) -> bytes:
+        """Return a refusal for the caller."""
+        return self._to_caller(
+            request, reason.value, b'', 0, '', retry_after_s
+        )
+
+    def _to_caller(
+        self,
+        request: base.Request,
+        kind: str,
+        value: bytes,
+        sequence: int,
+        identity: str,
+        after: int = 0,
+    ) -> bytes:
+        mid = int.from_bytes(request.exchange[:4], 'big')
+        return msgspec.msgpack.encode(
+            [mid, request.token, kind, value, sequence, after, identity]
+        )
+
+
+class Ran(typing.NamedTuple):
+    """One line of a server's log."""
+
+    at: float
+    instance: str
+    service: str
+    identity: str
+    guarded: bool
+    weight: float
+
+
+class FakeServer:
+    """Run requests in slots; shed beyond a backlog; serve feeds."""
+
+    def __init__(
+        self,
+        owner: world.World,
+        instance: str,
+        service: str,
+        *,
+        slots: int,
+        service_s: float,
+        seed: int,
+    ) -> None:
+        """Start idle."""
+        self._world = owner
+        self._instance = instance
+        self._service = service
+        self._slots = slots
+        self._service_s = service_s
+        self._random = random.Random(seed)
+        self._running = 0
+        self._waiting: list[tuple[int, list]] = []
+        self._feeds: dict[int, str] = {}
+        self.epoch = 0
+        self.cold_until = 0.0
+        self.up = True
+        owner.schedule(self._random.random() * FEED_S, self._notify)
+
+    def die(self) -> None:
+        """Lose everything that runs, waits or is observed."""
+        self.up = False
+        self.epoch += 1
+        self._running = 0
+        self._waiting.clear()
+        self._feeds.clear()
+
+    def receive(self, call: int, body: bytes) -> None:
+        """Take a request from the agent."""
+        if not self.up:
+            self._world.server_refused(self._instance, self._service)
+            return
+        fields = msgspec.msgpack.decode(body)
+        observe, identity = fields[6], fields[8]
+        if observe == 1:
+            self._feeds.pop(call, None)
+            return
+        if observe == 0:
+            self._feeds[call] = identity
+            self._reply(call, 0, False, identity)
+            return
+        if self._running < self._slots:
+            self._run(call, fields)
+        elif len(self._waiting) < SERVER_BACKLOG:
+            self._waiting.append((call, fields))
+        else:
+            self._reply(call, None, True, identity)
+
+    def _run(self, call: int, fields: list) -> None:
+        self._running += 1
+        method, segment, identity = fields[3], fields[4], fields[8]
+        weight = self._world.weights.get((method, segment), 1.0)
+        guarded = method == 'POST'
+        ran = Ran(
+            self._world.now,
+            self._instance,
+            self._service,
+            identity,
+            guarded,
+            weight,
+        )
+        self._world.ran.append(ran)
+        seconds = self._random.expovariate(1 / self._service_s)
+        if self._world.now < self.cold_until:
+            seconds *= 2
+        self._world.schedule(seconds, self._done, call, identity, self.epoch)
+
+    def _done(self, call: int, identity: str, epoch: int) -> None:
+        if epoch != self.epoch:
+            return
+        self._running -= 1
+        self._reply(call, None, False, identity)
+        if self._waiting:
+            self._run(*self._waiting.pop(0))
+
+    def _reply(
+        self, call: int, observe: int | None, shed: bool, identity: str
+    ) -> None:
+        payload = msgspec.msgpack.encode(
+            [_REPLY, call, observe, shed, identity]
+        )
+        self._world.from_server(self._instance, self._service, payload)
+
+    def _notify(self) -> None:
+        for call, identity in list(self._feeds.items()):
+            self._reply(call, 1, False, identity)
+        self._world.schedule(FEED_S, self._notify)
+
+
+class Asked(typing.NamedTuple):
+    """One line of a caller's record."""
+
+    at: float
+    identity: str
+    kind: str
+    outcome: str
+    seconds: float
+
+
+class FakeCaller:
+    """One flow of a caller: requests one after another, or one feed."""
+
+    def __init__(
+        self, owner: world.World, number: int, service: str, flow: bytes
+    ) -> None:
+        """Start silent."""
+        self._world = owner
+        self._service = service
+        self.flow = flow
+        self.number = number
+        self._count = 0
+        self._mid = 0
+        self._open: dict[bytes, dict[str, typing.Any]] = {}
+        self.feed: dict[str, typing.Any] | None = None
+        self.flow_broken = False
+
+    def ask(
+        self, method: str, segment: str, *, deadline_s: float | None = None
+    ) -> str:
+        """Send one request; its outcome goes to the world's record."""
+        self._count += 1
+        identity = f'{self._service}-{self.number}-{self._count}'
+        token = self._count.to_bytes(4, 'big')
+        state = {
+            'identity': identity,
+            'token': token,
+            'method': method,
+            'segment': segment,
+            'echo': b'',
+            'deadline': deadline_s,
+            'began': self._world.now,
+        }
+        self._open[token] = state
+        self._transmit_new(state, None)
+        return identity
+
+    def observe(self) -> None:
+        """Begin a feed."""
+        identity = f'{self._service}-{self.number}-feed'
+        self.feed = {
+            'identity': identity,
+            'token': b'feed',
+            'method': 'GET',
+            'segment': 'feed',
+            'echo': b'',
+            'deadline': None,
+            'began': self._world.now,
+            'last': None,
+            'sequence': -1,
+            'gap': 0.0,
+            'notes': 0,
+        }
+        self._open[b'feed'] = self.feed
+        self._transmit_new(self.feed, 0)
+
+    def _transmit_new(
+        self, state: dict[str, typing.Any], observe: int | None
+    ) -> None:
+        self._mid += 1
+        state['mid'] = self._mid
+        payload = msgspec.msgpack.encode(
+            [
+                _REQUEST,
+                self._mid,
+                state['token'],
+                state['method'],
+                state['segment'],
+                state['echo'],
+                observe,
+                state['deadline'],
+                state['identity'],
+            ]
+        )
+        self._transmit(state, payload, self._mid, 0)
+
+    def _transmit(
+        self,
+        state: dict[str, typing.Any],
+        payload: bytes,
+        mid: int,
+        repeats: int,
+    ) -> None:
+        if state['token'] not in self._open or state['mid'] != mid:
+            return
+        if repeats > CALLER_REPEATS:
+            self._finish(state, 'lost')
+            return
+        self._world.from_caller(self.flow, payload)
+        self._world.schedule(
+            CALLER_REPEAT_S * 2**repeats,
+            self._transmit,
+            state,
+            payload,
+            mid,
+            repeats + 1,
+        )
+
+    def _finish(self, state: dict[str, typing.Any], outcome: str) -> None:
+        del self._open[state['token']]
+        self._world.asked.append(
+            Asked(
+                state['began'],
+                state['identity'],
+                state['segment'],
+                outcome,
+                self._world.now - state['began'],
+            )
+        )
+
+    def receive(self, payload: bytes) -> None:
+        """Take a datagram from the fabric."""
+        answer = Answer(*msgspec.msgpack.decode(payload))
+        if answer.kind == 'note':
+            self._on_note(answer)
+            return
+        state = self._open.get(answer.token)
+        if state is None or state['mid'] != answer.message_id:
+            return
+        if answer.kind == 'challenge':
+            state['echo'] = answer.value
+            self._transmit_new(state, None)
+            return
+        outcome = answer.kind
+        if outcome == 'answer' and answer.identity != state['identity']:
+            outcome = 'crossed'
+        if state is self.feed:
+            self._on_note(answer)
+        self._finish(state, outcome)
+        self._world.answered(self, outcome, answer.retry_after_s)
+
+    def _on_note(self, answer: Answer) -> None:
+        feed = self.feed
+        if feed is None or answer.sequence <= feed['sequence']:
+            return
+        if answer.identity != feed['identity']:
+            feed['gap'] = float('inf')
+            return
+        feed['sequence'] = answer.sequence
+        feed['notes'] += 1
+        if feed['last'] is not None:
+            feed['gap'] = max(feed['gap'], self._world.now - feed['last'])
+        feed['last'] = self._world.now
+
+    def feed_broken(self) -> bool:
+        """Tell whether the feed went silent for too long or never began."""
+        feed = self.feed
+        if feed is None:
+            return False
+        if feed['last'] is None:
+            return True
+        gap = max(feed['gap'], self._world.now - feed['last'])
+        return gap > FEED_GAP_S
--- a/packages/teaseldock/teaseldock/announcer.py
+++ b/packages/teaseldock/teaseldock/announcer.py
@@ -15,14 +15,27 @@
 
 #: Flows in one message, about 700 bytes.
 FLOWS_PER_BATCH = 40
-#: Seconds between two batches; with the above at most 4 KB a second.
-BATCH_INTERVAL_S = 0.2
+#: Bytes a second that announcements may take, and how many at once.
+BYTES_PER_S = 4000.0
+BURST_BYTES = 4000.0
+#: Bytes of a message and its acknowledgement without flows, and of one flow.
+MESSAGE_BYTES = 200
+FLOW_BYTES = 16
 #: Seconds until a batch without acknowledgement is sent again.
 REPEAT_S = 0.6
+#: Seconds after a change in which other agents may still have the old view.
+LATE_VIEW_S = 5.0
+
+
+class Owner(typing.NamedTuple):
+    """Who owns a bucket; one that started again knows nothing any more."""
+
+    name: str
+    incarnation: int
 
 
 class _Batch(typing.NamedTuple):
-    owner: str
+    owner: Owner
     flows: list[bytes]
     repeat_at: float
 
@@ -40,83 +53,124 @@
         self._shared = shared
         self._service = service
         self._holder = held
-        self._owners: list[str | None] = [None] * flows.BUCKET_COUNT
-        self._queue: collections.deque[bytes] = collections.deque()
+        self._owners: list[Owner | None] = [None] * flows.BUCKET_COUNT
+        self._queues: dict[Owner, collections.deque[bytes]] = {}
         self._batches: dict[int, _Batch] = {}
-        self._next_batch_at = 0.0
+        self._changed_at = 0.0
+        self._tokens = BURST_BYTES
+        self._last_tick: float | None = None
 
     @property
     def waiting(self) -> int:
         """Return how many flows have yet to be announced."""
-        return len(self._queue)
+        return sum(len(queue) for queue in self._queues.values())
 
-    def refresh(self, service: table.ServiceTable) -> None:
+    def refresh(self, service: table.ServiceTable, now: float) -> None:
         """Queue the flows of buckets whose owner changed."""
         self._service = service
         owners = [
-            self._shared.view.owner(service, bucket)
-            for bucket in range(flows.BUCKET_COUNT)
+            self._owner_of(bucket) for bucket in range(flows.BUCKET_COUNT)
         ]
         changed = {
             bucket
             for bucket, owner in enumerate(owners)
-            if owner != self._owners[bucket] and owner != self._shared.name
+            if owner is not None and owner != self._owners[bucket]
         }
         self._owners = owners
         if not changed:
             return
+        self._changed_at = now
+        # An owner is told even if there is no flow for it: it searches for
+        # unknown flows until it hears from every peer.
+        for bucket in changed:
+            self._queues.setdefault(owners[bucket], collections.deque())
         for flow in self._holder.flows:
-            if self._holder.flows.peek(flow) in changed:
-                self._queue.append(flow)
+            bucket = self._holder.flows.peek(flow)
+            if bucket in changed:
+                self._queues[owners[bucket]].append(flow)
+
+    def _owner_of(self, bucket: int) -> Owner | None:
+        name = self._shared.view.owner(self._service, bucket)
+        if name is None or name == self._shared.name:
+            return None
+        return Owner(name, self._shared.view.incarnation(name))
+
+    def adopted(self, flow: bytes, now: float) -> None:
+        """Announce one flow that another agent has just placed here.
+
+        Its placing agent may be a bucket's former owner whose view is late;
+        the new owner has then been told "complete" too early.
+        """
+        bucket = self._holder.flows.peek(flow)
+        owner = self._owners[bucket]
+        if owner is not None and now - self._changed_at < LATE_VIEW_S:
+            queue = self._queues.setdefault(owner, collections.deque())
+            queue.append(flow)
 
     def tick(self, now: float) -> list[messages.Action]:
-        """Send the next batch, repeats first."""
-        if now < self._next_batch_at:
-            return []
-        for number, batch in self._batches.items():
-            if now >= batch.repeat_at:
-                return self._repeat(number, batch, now)
-        if not self._queue:
-            return []
-        return self._send_new(now)
+        """Send what the budget allows, repeats first."""
+        elapsed = now - (self._last_tick or now)
+        self._last_tick = now
+        earned = elapsed * BYTES_PER_S
+        self._tokens = min(BURST_BYTES, self._tokens + earned)
+        actions: list[messages.Action] = []
+        for number, batch in list(self._batches.items()):
+            if now >= batch.repeat_at and self._tokens > 0:
+                del self._batches[number]
+                actions += self._repeat(batch, now)
+        for owner in list(self._queues):
+            if self._tokens <= 0:
+                break
+            actions += self._send_next(owner, now)
+        return actions
 
-    def _repeat(
-        self, number: int, batch: _Batch, now: float
-    ) -> list[messages.Action]:
-        if self._shared.view.is_dead(batch.owner):
-            del self._batches[number]
-            self._queue.extend(batch.flows)
+    def _repeat(self, batch: _Batch, now: float) -> list[messages.Action]:
+        if batch.owner not in self._owners:
             return []
-        return self._send(number, batch.owner, batch.flows, now)
+        queue = self._queues.setdefault(batch.owner, collections.deque())
+        queue.extendleft(batch.flows)
+        return self._send_next(batch.owner, now)
 
-    def _send_new(self, now: float) -> list[messages.Action]:
-        owner = None
+    def _send_next(self, owner: Owner, now: float) -> list[messages.Action]:
+        queue = self._queues[owner]
         chosen: list[bytes] = []
-        while self._queue and len(chosen) < FLOWS_PER_BATCH:
-            flow = self._queue[0]
+        while queue and len(chosen) < FLOWS_PER_BATCH:
+            flow = queue.popleft()
             bucket = self._holder.flows.peek(flow)
-            if bucket is None or self._owners[bucket] == self._shared.name:
-                self._queue.popleft()
-                continue
-            if owner is None:
-                owner = self._owners[bucket]
-            if self._owners[bucket] != owner:
-                self._queue.rotate(-1)
-                break
-            chosen.append(self._queue.popleft())
-        if owner is None:
+            if bucket is not None and self._owners[bucket] == owner:
+                chosen.append(flow)
+        complete = b''
+        if not queue:
+            del self._queues[owner]
+            complete = self._complete(owner)
+        if not chosen and not any(complete):
             return []
-        return self._send(next(self._shared.calls), owner, chosen, now)
-
-    def _send(
-        self, number: int, owner: str, chosen: list[bytes], now: float
-    ) -> list[messages.Action]:
-        self._next_batch_at = now + BATCH_INTERVAL_S
+        number = next(self._shared.calls)
         self._batches[number] = _Batch(owner, chosen, now + REPEAT_S)
+        self._tokens -= MESSAGE_BYTES + FLOW_BYTES * len(chosen)
         message = messages.Announce(
-            self._shared.name, self._service.number, number, chosen
+            self._shared.name,
+            self._service.number,
+            number,
+            chosen,
+            complete,
+        )
+        return self._shared.view.to_peer(owner.name, message)
+
+    def _complete(self, owner: Owner) -> bytes:
+        """Return the buckets of which an owner has been told everything.
+
+        Batches on the way may be lost; while there are any, their repeats
+        come with the word, computed anew.
+        """
+        for batch in self._batches.values():
+            if batch.owner == owner and batch.flows:
+                return b''
+        return flows.pack_buckets(
+            bucket
+            for bucket, known in enumerate(self._owners)
+            if known == owner
         )
-        return self._shared.view.to_peer(owner, message)
 
     def on_announced(
         self, message: messages.Announced, now: float
@@ -131,4 +185,7 @@
                 continue
             if self._holder.may_move(flow, now):
                 actions += self._holder.release(flow, now)
+        if batch.flows and batch.owner not in self._queues:
+            # The last batch on the way is in: the word can follow.
+            self._queues[batch.owner] = collections.deque()
         return actions
--- a/packages/teaseldock/teaseldock/directory.py
+++ b/packages/teaseldock/teaseldock/directory.py
@@ -7,8 +7,12 @@
 from teaseldock import flow_store
 from teaseldock import proxy_header
 
-#: Seconds after gaining a bucket in which unknown flows are searched for.
+#: Longest time after gaining a bucket in which unknown flows are searched
+#: for, should a peer never say that it has announced all of its flows.
 SEARCH_WINDOW_S = 10.0
+#: Seconds for which a peer's word about a bucket that is not yet owned here
+#: is kept; its view may be ahead of this agent's.
+EARLY_WORD_S = 5.0
 #: Seconds between two rounds of asking.
 SEARCH_REPEAT_S = 0.15
 #: Rounds of asking before the silent ones are taken as not holding.
@@ -38,6 +42,16 @@
         self.repeat_at = repeat_at
 
 
+class Window(typing.NamedTuple):
+    """Time in which the flows of a gained bucket are not all known.
+
+    :ivar unconfirmed: peers that may still hold unannounced flows.
+    """
+
+    until: float
+    unconfirmed: set[str]
+
+
 class Directory:
     """Know the holders of the flows whose buckets this agent owns.
 
@@ -48,7 +62,8 @@
     def __init__(self, now: float) -> None:
         """Start with all buckets unowned."""
         self._holders = flow_store.FlowStore(now)
-        self._windows: dict[int, float] = {}
+        self._windows: dict[int, Window] = {}
+        self._early: dict[tuple[str, int], float] = {}
         self._owned: set[int] = set()
         self._searches: dict[bytes, Search] = {}
 
@@ -60,29 +75,59 @@
         """Return the searches under way, by flow."""
         return self._searches
 
-    def own(self, buckets: set[int], now: float) -> None:
+    def own(
+        self, buckets: set[int], peers: typing.Iterable[str], now: float
+    ) -> None:
         """Take over the set of owned buckets.
 
         A bucket that is new to this agent may have flows that others hold
         and that this agent has never heard of. Placing these anew would break
-        them, which a caller would notice as a feed that goes silent; so for
-        a time, unknown flows of the bucket are searched for.
+        them, which a caller would notice as a feed that goes silent; so
+        unknown flows of the bucket are searched for, until each peer has said
+        that it announced all that it holds.
+
+        :param peers: living instances of the service.
         """
+        for bucket in self._owned - buckets:
+            self._windows.pop(bucket, None)
         for bucket in buckets - self._owned:
-            self._windows[bucket] = now + SEARCH_WINDOW_S
+            unconfirmed = {
+                name
+                for name in peers
+                if now - self._early.get((name, bucket), -EARLY_WORD_S)
+                >= EARLY_WORD_S
+            }
+            self._windows[bucket] = Window(now + SEARCH_WINDOW_S, unconfirmed)
         self._owned = buckets
 
-    def must_search(self, bucket: int, now: float) -> bool:
-        """Tell whether an unknown flow of a bucket may be held elsewhere."""
+    def confirm(
+        self, name: str, buckets: typing.Iterable[int], now: float
+    ) -> None:
+        """Note that a peer has announced all it holds in some buckets."""
+        for bucket in buckets:
+            window = self._windows.get(bucket)
+            if window is not None:
+                window.unconfirmed.discard(name)
+            elif bucket not in self._owned:
+                self._early[name, bucket] = now
+
+    def to_ask(
+        self, bucket: int, peers: typing.Iterable[str], now: float
+    ) -> set[str]:
+        """Return the peers that may hold an unknown flow of a bucket.
+
+        :param peers: living instances of the service.
+        """
         if bucket not in self._owned:
-            return True
-        until = self._windows.get(bucket)
-        if until is None:
-            return False
-        if now < until:
-            return True
+            return set(peers)
+        window = self._windows.get(bucket)
+        if window is None:
+            return set()
+        unconfirmed = window.unconfirmed.intersection(peers)
+        if unconfirmed and now < window.until:
+            return unconfirmed
         del self._windows[bucket]
-        return False
+        return set()
 
     def holder_of(self, flow: bytes) -> str | None:
         """Return the instance that holds a flow, as far as is known."""
@@ -135,5 +180,12 @@
         return search.packets if search else []
 
     def expire(self, now: float) -> None:
-        """Forget idle entries."""
+        """Forget idle entries and words that came too early."""
         self._holders.expire(now, lambda flow, holder: False)
+        if not self._early:
+            return
+        self._early = {
+            key: heard_at
+            for key, heard_at in self._early.items()
+            if now - heard_at < EARLY_WORD_S
+        }
--- a/packages/teaseldock/teaseldock/flow.py
+++ b/packages/teaseldock/teaseldock/flow.py
@@ -75,3 +75,17 @@
     :param key: :data:`HASH_KEY_BYTES` bytes, the same on every process.
     """
     return siphash24.siphash24(flow, key=key).digest()[0]
+
+
+def pack_buckets(buckets: typing.Iterable[int]) -> bytes:
+    """Return a set of buckets as one bit each."""
+    bits = 0
+    for bucket in buckets:
+        bits |= 1 << bucket
+    return bits.to_bytes(BUCKET_COUNT // 8, 'little')
+
+
+def read_buckets(packed: bytes) -> list[int]:
+    """Return the buckets within :func:`pack_buckets` bytes."""
+    bits = int.from_bytes(packed, 'little')
+    return [bucket for bucket in range(BUCKET_COUNT) if bits >> bucket & 1]
--- a/packages/teaseldock/teaseldock/idl/teaseldock.thrift
+++ b/packages/teaseldock/teaseldock/idl/teaseldock.thrift
@@ -78,6 +78,7 @@
   2: i64 service_number
   3: i64 batch
   4: list<binary> flows
+  5: binary complete
 }
 
 struct Announced {
--- a/packages/teaseldock/teaseldock/messages.py
+++ b/packages/teaseldock/teaseldock/messages.py
@@ -134,12 +134,17 @@
 
 
 class Announce(typing.NamedTuple):
-    """Tell a bucket's owner which flows the sender holds."""
+    """Tell a bucket's owner which flows the sender holds.
+
+    :ivar complete: bit for each bucket of which the receiver now knows all
+        flows that the sender holds; empty if more batches follow.
+    """
 
     sender: str
     service_number: int
     batch: int
     flows: list[bytes]
+    complete: bytes
 
 
 class Announced(typing.NamedTuple):
--- a/packages/teaseldock/teaseldock/owner.py
+++ b/packages/teaseldock/teaseldock/owner.py
@@ -57,7 +57,8 @@
             for bucket in range(flows.BUCKET_COUNT)
             if self._shared.view.owner(service, bucket) == own
         }
-        self._directory.own(owned, now)
+        peers = self._shared.view.peers(service)
+        self._directory.own(owned, peers, now)
 
     def hand_on(
         self, packet: proxy_header.Packet, name: str, role: proxy_header.Role
@@ -86,22 +87,29 @@
         owner = self._shared.view.owner(self._service, bucket)
         newer = packet.generation > self._shared.view.generation
         if owner not in (None, self._shared.name) and not newer:
-            return self.hand_on(packet, owner, proxy_header.Role.OWNER)
+            return self.hand_on(packet, owner, _role_to_owner(packet))
+        if packet.role == proxy_header.Role.RETURNED:
+            # Without this, an entry for a target that was leaving before it
+            # took the flow sends each packet to and fro until it is dropped.
+            self._directory.forget(packet.flow)
         known = self._directory.holder_of(packet.flow)
         if known is not None and not self._shared.view.is_dead(known):
             return self.hand_on(packet, known, proxy_header.Role.HOLDER)
         if known is not None:
             self._directory.forget(packet.flow)
-        if self._directory.must_search(bucket, now):
-            return self._search(packet, bucket, now)
+        peers = self._shared.view.peers(self._service)
+        to_ask = self._directory.to_ask(bucket, peers, now)
+        if to_ask:
+            return self._search(packet, bucket, to_ask, now)
         return self._place(packet, now)
 
     def _search(
-        self, packet: proxy_header.Packet, bucket: int, now: float
+        self,
+        packet: proxy_header.Packet,
+        bucket: int,
+        peers: set[str],
+        now: float,
     ) -> list[messages.Action]:
-        peers = self._shared.view.peers(self._service)
-        if not peers:
-            return self._place(packet, now)
         begun = self._directory.search(packet, bucket, peers, now)
         if begun is None:
             return []
@@ -179,6 +187,8 @@
         self, message: messages.Announce, now: float
     ) -> list[messages.Action]:
         """Learn which flows a peer holds."""
+        buckets = flows.read_buckets(message.complete)
+        self._directory.confirm(message.sender, buckets, now)
         elsewhere = [
             flow
             for flow in message.flows
@@ -218,3 +228,10 @@
                 actions += self._place_all(flow, now)
         self._directory.expire(now)
         return actions
+
+
+def _role_to_owner(packet: proxy_header.Packet) -> proxy_header.Role:
+    """Return whether the owner is asked, or told that its entry is wrong."""
+    if packet.role == proxy_header.Role.OWNER:
+        return proxy_header.Role.OWNER
+    return proxy_header.Role.RETURNED
--- a/packages/teaseldock/teaseldock/proxy_header.py
+++ b/packages/teaseldock/teaseldock/proxy_header.py
@@ -52,6 +52,8 @@
     PLACED = 2
     #: The packet carries a challenge that the receiver issued.
     CHALLENGER = 3
+    #: The sender was taken for the flow's holder and isn't.
+    RETURNED = 4
 
 
 class Packet(typing.NamedTuple):
--- a/packages/teaseldock/teaseldock/target.py
+++ b/packages/teaseldock/teaseldock/target.py
@@ -104,7 +104,7 @@
         self._holder.configure(service, rules, slots=slots)
         self._drain.set_service(service)
         self._owner.refresh(service, now)
-        self._announcer.refresh(service)
+        self._announcer.refresh(service, now)
         own = self._shared.name
         leaving = (
             own in self._shared.view.excluded or own not in service.weights
@@ -133,10 +133,15 @@
         if moved_to is not None:
             role = proxy_header.Role.HOLDER
             return self._owner.hand_on(packet, moved_to, role)
-        if packet.role == proxy_header.Role.OWNER or self._leaving:
+        asks_owner = packet.role in (
+            proxy_header.Role.OWNER,
+            proxy_header.Role.RETURNED,
+        )
+        if asks_owner or self._leaving:
             return self._owner.on_packet(packet, now)
         self._holder.adopt(packet.flow)
         self._owner.forget(packet.flow)
+        self._announcer.adopted(packet.flow, now)
         return self._holder.deliver(packet, now)
 
     def _on_held(
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,35 @@
+"""Share fixtures and the profile of hypothesis."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+
+from bench import world
+
+hypothesis.settings.register_profile(
+    'ci',
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.load_profile('ci')
+
+SMALL = world.Shape(
+    'small',
+    (('dispatch', 4), ('tickets', 2)),
+    2,
+    0.0015,
+    0.003,
+    'orders',
+    'dispatch',
+)
+
+
+@pytest.fixture
+def small() -> world.World:
+    """Return a small deployment in virtual time that has just got ready."""
+    built = world.World(SMALL, seed=7, balancers=2)
+    built.run_until(2.0)
+    return built
--- /dev/null
+++ b/tests/promises.py
@@ -0,0 +1,54 @@
+"""Check the promises of the brief on a run in virtual time."""
+
+from __future__ import annotations
+
+import collections
+
+from bench import world
+
+FINAL = ('answer', 'not run', 'outcome unknown', 'lost')
+
+
+def ran_twice(run: world.World) -> list[str]:
+    """Return guarded requests that ran more than once."""
+    counts = collections.Counter(r.identity for r in run.ran if r.guarded)
+    return [identity for identity, count in counts.items() if count > 1]
+
+
+def untrue_refusals(run: world.World) -> list[str]:
+    """Return requests that were called not run, and ran."""
+    ran = {item.identity for item in run.ran}
+    return [
+        item.identity
+        for item in run.asked
+        if item.outcome == 'not run' and item.identity in ran
+    ]
+
+
+def misrouted(run: world.World) -> list[str]:
+    """Return requests that ran at another service than their own."""
+    return [
+        item.identity
+        for item in run.ran
+        if not item.identity.startswith(f'{item.service}-')
+    ]
+
+
+def crossed(run: world.World) -> list[str]:
+    """Return requests whose caller got another's answer."""
+    return [item.identity for item in run.asked if item.outcome == 'crossed']
+
+
+def assert_safe(run: world.World) -> None:
+    """Assert what must hold in every history."""
+    assert ran_twice(run) == []
+    assert untrue_refusals(run) == []
+    assert misrouted(run) == []
+    assert crossed(run) == []
+
+
+def outcomes(run: world.World) -> collections.Counter[str]:
+    """Return counts of outcomes, feeds' registrations left out."""
+    return collections.Counter(
+        item.outcome for item in run.asked if item.kind != 'feed'
+    )
--- /dev/null
+++ b/tests/test_affinity.py
@@ -0,0 +1,181 @@
+"""Test that flows stay with their holders through changes."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench import fakes
+from bench import world
+from tests import conftest
+from tests import promises
+
+
+def feeds_on(run: world.World, count: int) -> list[fakes.FakeCaller]:
+    """Begin feeds and let them settle."""
+    callers = [run.add_caller('dispatch') for _ in range(count)]
+    for caller in callers:
+        caller.observe()
+    run.run_until(run.now + 2.0)
+    return callers
+
+
+def orders_on(run: world.World, callers: list[fakes.FakeCaller]) -> None:
+    """Let each caller order once and wait for the answers."""
+    for caller in callers:
+        caller.ask('POST', 'orders')
+    run.run_until(run.now + 1.0)
+
+
+def leave_by_rules(run: world.World, *names: str) -> None:
+    """Publish which instances are leaving."""
+    run.rules['leaving'] = list(names)
+    run.publish('rules', run.rules)
+
+
+def test_every_flow_has_one_holder(small: world.World) -> None:
+    """One flow's packets through any balancer meet at one target."""
+    callers = feeds_on(small, 60)
+    for _ in range(3):
+        orders_on(small, callers)
+    assert all(len(small.holders(caller)) == 1 for caller in callers)
+    assert promises.outcomes(small) == {'answer': 180}
+
+
+def test_buckets_move_twice_in_a_row(small: world.World) -> None:
+    """Feeds survive two moves of their buckets, one right after the other.
+
+    Symptom: a truck-status feed goes silent after two quick changes of the
+    rules. Sequence: instance 1 leaves, and before its buckets' new owners
+    have heard of all flows, instance 2 leaves too. Cause to guard against: an
+    owner that places a flow it has never heard of, though a target holds it.
+    """
+    callers = feeds_on(small, 80)
+    before = {c.flow: small.holders(c) for c in callers}
+    leave_by_rules(small, 'dispatch-1')
+    small.run_until(small.now + 0.15)
+    leave_by_rules(small, 'dispatch-1', 'dispatch-2')
+    small.run_until(small.now + 0.05)
+    orders_on(small, callers)
+    small.run_until(small.now + 10.0)
+    staying = [
+        c
+        for c in callers
+        if not set(before[c.flow]) & {'dispatch-1', 'dispatch-2'}
+    ]
+    assert staying
+    for caller in staying:
+        assert small.holders(caller) == before[caller.flow]
+    assert not any(caller.feed_broken() for caller in callers)
+    assert promises.outcomes(small) == {'answer': 80}
+    promises.assert_safe(small)
+
+
+def test_feeds_outlive_ten_changes(small: world.World) -> None:
+    """An hours-long feed survives any sequence of planned changes."""
+    callers = feeds_on(small, 40)
+    for step in range(10):
+        leave_by_rules(small, f'dispatch-{step % 4 + 1}')
+        small.run_until(small.now + 4.0)
+    assert not any(caller.feed_broken() for caller in callers)
+    assert all(len(small.holders(caller)) == 1 for caller in callers)
+    promises.assert_safe(small)
+
+
+def test_directory_is_rebuilt_after_its_owner_dies(
+    small: world.World,
+) -> None:
+    """Flows held elsewhere survive the death of their buckets' owner.
+
+    Symptom: callers whose target is well lose their affinity when another
+    target dies. Sequence: a bucket's owner placed a flow at a peer and is
+    killed; the flow's next packet reaches the new owner, which knows nothing
+    of it. Cause to guard against: placing it anew; the new owner must learn
+    it from its holder.
+    """
+    small.run_until(3.0)
+    callers = feeds_on(small, 120)
+    dead = 'dispatch-1'
+    before = {c.flow: small.holders(c) for c in callers}
+    survivors = [c for c in callers if dead not in before[c.flow]]
+    owned = [
+        c
+        for c in survivors
+        if small.processes['dispatch-2'].node.view.owner(
+            small.processes['dispatch-2'].node.view.table.services['dispatch'],
+            world.flow.bucket_of(c.flow, key=world.KEYS.flow_hash),
+        )
+        == dead
+    ]
+    assert owned, 'the seed must give flows that the dead target owned'
+    small.kill_instance(dead)
+    small.run_until(small.now + 6.0)
+    orders_on(small, survivors)
+    small.run_until(small.now + 8.0)
+    for caller in survivors:
+        assert small.holders(caller) == before[caller.flow]
+    assert not any(caller.feed_broken() for caller in survivors)
+    promises.assert_safe(small)
+
+
+@pytest.mark.parametrize('way', ['rules', 'list', 'word'])
+def test_any_signal_ends_new_work_within_three_seconds(
+    small: world.World, way: str
+) -> None:
+    """A leaving target gets no new work by any one of three signals."""
+    name = 'dispatch-1'
+    if way == 'rules':
+        leave_by_rules(small, name)
+    elif way == 'list':
+        small.list_leaving(name)
+    else:
+        small.leave(name)
+    began = small.now
+    callers = [small.add_caller('dispatch') for _ in range(40)]
+    for _ in range(16):
+        orders_on(small, callers)
+    late = [
+        item
+        for item in small.ran
+        if item.instance == name and item.at > began + 3.0
+    ]
+    assert late == []
+    assert promises.outcomes(small) == {'answer': 640}
+    promises.assert_safe(small)
+
+
+def test_leaving_works_while_the_platform_is_down(small: world.World) -> None:
+    """SIGTERM drains a target though the configuration can't be read."""
+    callers = feeds_on(small, 40)
+    small.set_platform(False)
+    small.run_until(small.now + 1.0)
+    small.leave('dispatch-1')
+    for _ in range(5):
+        orders_on(small, callers)
+    small.run_until(small.now + 8.0)
+    assert not small.processes['dispatch-1'].alive
+    assert not any(caller.feed_broken() for caller in callers)
+    assert promises.outcomes(small) == {'answer': 200}
+    promises.assert_safe(small)
+
+
+def test_a_new_target_takes_no_flow_from_another() -> None:
+    """A target that joins gets buckets, but held flows stay."""
+    run = world.World(conftest.SMALL, seed=3, balancers=2)
+    run.run_until(2.0)
+    callers = feeds_on(run, 60)
+    before = {c.flow: run.holders(c) for c in callers}
+    instance = run.new_instance('dispatch-9', 9)
+    run.register['instances'].append(instance)
+    run.publish('register', run.register)
+    run.rules['services'][0]['targets'].append(
+        {'instance': 'dispatch-9', 'port': 1, 'weight': 1.0}
+    )
+    run.start_instance(instance)
+    run.run_until(run.now + 0.5)
+    run.publish('rules', run.rules)
+    for _ in range(6):
+        orders_on(run, callers)
+    assert {c.flow: run.holders(c) for c in callers} == before
+    assert not any(caller.feed_broken() for caller in callers)
+    assert any(item.instance == 'dispatch-9' for item in run.ran)
+    promises.assert_safe(run)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,197 @@
+"""Test that guarded requests run at most once, and refusals are true."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench import fakes
+from bench import world
+from teaseldock import messages
+from tests import promises
+
+
+def one_order(run: world.World) -> tuple[fakes.FakeCaller, str]:
+    """Return a caller that has a holder, and that holder."""
+    caller = run.add_caller('dispatch')
+    caller.ask('POST', 'orders')
+    run.run_until(run.now + 1.0)
+    return caller, run.holders(caller)[0]
+
+
+def test_duplicated_packets_run_once(small: world.World) -> None:
+    """Every packet doubled and some lost: no order runs twice."""
+    small.duplicate = 1.0
+    small.loss = 0.05
+    callers = [small.add_caller('dispatch') for _ in range(50)]
+    for _ in range(6):
+        for caller in callers:
+            caller.ask('POST', 'orders')
+        small.run_until(small.now + 1.0)
+    small.run_until(small.now + 70.0)
+    assert len(small.ran) > 200
+    promises.assert_safe(small)
+
+
+def test_holder_dies_after_the_order_ran(small: world.World) -> None:
+    """A repeat whose holder died is told "outcome unknown", and never runs.
+
+    Symptom: a second truck whose load sets in the drum. Sequence: the order
+    runs, its holder is killed before the answer is out, the caller repeats
+    the message and the repeat reaches another target. Cause to guard against:
+    a target that can't know of the first run takes the repeat for new.
+    """
+    caller, holder = one_order(small)
+    small.service_s = 5.0
+    for server in small.servers.values():
+        server._service_s = 5.0
+    identity = caller.ask('POST', 'orders')
+    small.run_until(small.now + 0.2)
+    runner = [item for item in small.ran if item.identity == identity]
+    assert len(runner) == 1
+    small.kill_instance(holder)
+    small.run_until(small.now + 60.0)
+    outcome = [a.outcome for a in small.asked if a.identity == identity]
+    assert outcome == ['outcome unknown']
+    promises.assert_safe(small)
+
+
+def test_holder_is_replaced_before_the_order_is_sent_on(
+    small: world.World,
+) -> None:
+    """A challenge of a dead incarnation is never honoured by the next one.
+
+    Symptom: as above. Sequence: the caller has a challenge; the agent is
+    killed and started again under its name; the order arrives there. Cause to
+    guard against: the new process knows nothing of what the old one ran.
+    """
+    caller, holder = one_order(small)
+    small.kill(holder)
+    instance = next(
+        i for i in small.register['instances'] if i['name'] == holder
+    )
+    identity = caller.ask('POST', 'orders')
+    state = caller._open[caller._count.to_bytes(4, 'big')]
+    node = small.processes[holder].node
+    state['echo'] = _challenge_of(node, caller)
+    caller._transmit_new(state, None)
+    small.start_agent(instance)
+    small.run_until(small.now + 60.0)
+    outcome = [a.outcome for a in small.asked if a.identity == identity]
+    assert outcome == ['outcome unknown']
+    assert identity not in {item.identity for item in small.ran}
+    promises.assert_safe(small)
+
+
+def _challenge_of(node: world.agent.Agent, caller: fakes.FakeCaller) -> bytes:
+    """Return a challenge as a (dead) agent would have issued it."""
+    coordinator = node.find('dispatch').holder.coordinator
+    request = fakes.FakeCodec().read_caller(
+        fakes.msgspec.msgpack.encode(
+            [0, 99999, b'x', 'POST', 'orders', b'', None, None, 'x']
+        )
+    )
+    (action,) = coordinator.on_request(caller.flow, request, 2.0)
+    return fakes.Answer(*fakes.msgspec.msgpack.decode(action.payload)).value
+
+
+def test_runner_of_a_handed_on_order_dies(small: world.World) -> None:
+    """A hand-on whose runner dies ends as "outcome unknown"."""
+    for server in small.servers.values():
+        server._service_s = 4.0
+    callers = [small.add_caller('dispatch') for _ in range(8)]
+    for caller in callers:
+        caller.ask('POST', 'orders')
+    small.run_until(small.now + 0.5)
+    handed_on = sum(
+        p.node.counters['handed_on']
+        for p in small.processes.values()
+        if isinstance(p.node, world.agent.Agent)
+    )
+    assert handed_on
+    small.kill_instance('dispatch-2')
+    small.run_until(small.now + 70.0)
+    assert set(promises.outcomes(small)) <= {'answer', 'outcome unknown'}
+    assert promises.outcomes(small)['outcome unknown'] >= 1
+    promises.assert_safe(small)
+
+
+@pytest.mark.parametrize('seconds', [5.0, 30.0])
+def test_paused_holder_wakes_with_an_old_view(
+    small: world.World, seconds: float
+) -> None:
+    """An agent that was frozen runs nothing twice when it wakes.
+
+    Symptom: a doubled order long after a pause. Sequence: the holder freezes
+    with an order in its socket, the others declare it dead and the caller's
+    repeats go elsewhere; then it wakes and reads its socket. Cause to guard
+    against: both sides taking the order for theirs.
+    """
+    callers = [small.add_caller('dispatch') for _ in range(30)]
+    for caller in callers:
+        caller.ask('POST', 'orders')
+    small.run_until(small.now + 1.0)
+    small.pause('dispatch-1', seconds)
+    for caller in callers:
+        caller.ask('POST', 'orders')
+    small.run_until(small.now + seconds + 70.0)
+    promises.assert_safe(small)
+    assert promises.outcomes(small)['lost'] == 0
+
+
+def test_overload_is_refused_at_once_and_truly(small: world.World) -> None:
+    """At twice the capacity, refusals are immediate and nothing is lost."""
+    callers = [small.add_caller('dispatch') for _ in range(1600)]
+    for _ in range(4):
+        for caller in callers:
+            caller.ask('POST', 'orders')
+        small.run_until(small.now + 1.0)
+    small.run_until(small.now + 5.0)
+    counts = promises.outcomes(small)
+    assert counts['not run'] > 100
+    assert set(counts) <= {'answer', 'not run'}
+    refused = [a for a in small.asked if a.outcome == 'not run']
+    assert max(a.seconds for a in refused) < 2.0
+    promises.assert_safe(small)
+
+
+def test_server_that_vanishes_leaves_the_outcome_unknown(
+    small: world.World,
+) -> None:
+    """Orders that a dead server had begun are not called "not run"."""
+    for server in small.servers.values():
+        server._service_s = 3.0
+    callers = [small.add_caller('dispatch') for _ in range(8)]
+    for caller in callers:
+        caller.ask('POST', 'orders')
+    small.run_until(small.now + 0.3)
+    small.servers['dispatch-1', 'dispatch'].die()
+    small.server_refused('dispatch-1', 'dispatch')
+    small.run_until(small.now + 60.0)
+    assert promises.outcomes(small)['outcome unknown'] >= 1
+    promises.assert_safe(small)
+
+
+def test_hand_on_repeat_is_answered_from_memory(small: world.World) -> None:
+    """A repeated hand-on gets the first one's answer, and runs once."""
+    run = small
+    node = run.processes['dispatch-2'].node
+    target = node.find('dispatch')
+    body = fakes.msgspec.msgpack.encode(
+        [0, 1, b't', 'POST', 'orders', b'', None, None, 'dispatch-0-1']
+    )
+    execute = messages.Execute(
+        'dispatch-1',
+        target.service.number,
+        77,
+        1,
+        node.members.own.incarnation,
+        1.0,
+        False,
+        0,
+        body,
+        target.holder.load(run.now),
+    )
+    for _ in range(3):
+        run._perform('dispatch-2', node.on_message(execute, run.now))
+        run.run_until(run.now + 0.5)
+    assert [r.identity for r in run.ran].count('dispatch-0-1') == 1
