--- a/packages/teaseldock-balancer/teaseldock_balancer/application.py
+++ b/packages/teaseldock-balancer/teaseldock_balancer/application.py
@@ -34,6 +34,7 @@
         super().__init__(values, self._balancer)
         self._seal_key = self._keys[0]
         self._route = self._balancer.router.route
+        self._last_packet_at = 0.0
         self._passed: collections.Counter[str] = collections.Counter()
         self._outside = sockets.DatagramSocket(
             self.on_datagram, place='--listen'
@@ -63,6 +64,8 @@
         if route is None:
             return
         self._passed['packets'] += 1
+        if self._leaving:
+            self._last_packet_at = time.monotonic()
         self._peer.send(
             proxy_header.seal(
                 flow_key, route.tlv, payload, key=self._seal_key
@@ -75,8 +78,14 @@
         self.count_drop('packet_for_agent')
 
     def may_stop(self, left_at: float, now: float) -> bool:
-        """Tell whether the fabric has had time to turn away."""
-        return now - left_at >= self._values['linger']
+        """Tell whether the fabric has turned away.
+
+        The fabric learns of the leaving from a list that lags, or not at all
+        while the platform is down. Stopping after a fixed time would lose
+        what it still sends; a caller would notice a request without answer.
+        """
+        quiet_since = max(left_at, self._last_packet_at)
+        return now - quiet_since >= self._values['linger']
 
     def status(self) -> dict[str, typing.Any]:
         """Return figures for the status page and the metrics."""
--- a/packages/teaseldock-edge/teaseldock_edge/settings.py
+++ b/packages/teaseldock-edge/teaseldock_edge/settings.py
@@ -131,7 +131,7 @@
         '3.0',
         'number',
         'seconds',
-        'Time a stopping balancer still passes packets on.',
+        'Time without packets after which a stopping balancer ends.',
         high=60,
         scope='balancer',
     ),
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -5,7 +5,6 @@
 import json
 import os
 import pathlib
-import signal
 import sys
 import time
 import typing
@@ -106,17 +105,8 @@
 
     def replace_gracefully() -> None:
         say('replace balancer-1 with SIGTERM')
-        centre = dep.register['data_centres'][0]['name']
         dep.start_balancer()
-        dep.list_instance(
-            'balancer-1',
-            'balancer',
-            centre,
-            dep.balancer_address('balancer-1'),
-            deployment.BALANCER_PEER_PORT,
-            leaving=True,
-        )
-        dep.signal('balancer-1', signal.SIGTERM)
+        dep.stop_balancer('balancer-1')
 
     def replace_killed() -> None:
         say('replace balancer-2 with SIGKILL')
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -251,6 +251,18 @@
         )
         return name
 
+    def stop_balancer(self, name: str) -> None:
+        """Stop a balancer as a deployment tool does: list, then SIGTERM."""
+        self.list_instance(
+            name,
+            'balancer',
+            self.register['data_centres'][0]['name'],
+            self.balancer_address(name),
+            BALANCER_PEER_PORT,
+            leaving=True,
+        )
+        self.signal(name, signal.SIGTERM)
+
     def balancer_address(self, name: str) -> str:
         """Return the address of a balancer."""
         return f'127.{self.network}.9.{name.rsplit("-", 1)[1]}'
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,195 @@
+"""Test that documents come into force whole, in rising revisions only."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from teaseldock import audit
+from teaseldock import configuration
+from teaseldock import exceptions
+from teaseldock import inventory
+
+
+def register(**changes: typing.Any) -> dict[str, typing.Any]:
+    """Return a small register."""
+    instance = {
+        'name': 'a-1',
+        'data_centre': 'north',
+        'address': '10.0.0.1',
+        'peer_port': 5700,
+        'slots': 2,
+        'connections': 2000,
+    }
+    instance.update(changes)
+    return {
+        'data_centres': [{'name': 'north', 'region': 'r'}],
+        'instances': [instance],
+    }
+
+
+def rules(**changes: typing.Any) -> dict[str, typing.Any]:
+    """Return small rules."""
+    service = {
+        'name': 'a',
+        'address': '10.1.0.1',
+        'port': 5683,
+        'targets': [{'instance': 'a-1', 'port': 1, 'weight': 1.0}],
+        'request_classes': [],
+    }
+    service.update(changes)
+    return {'services': [service], 'leaving': []}
+
+
+def document(
+    key: str, revision: int, content: typing.Any
+) -> configuration.Document:
+    """Return a document as the service would give it."""
+    if not isinstance(content, bytes):
+        content = json.dumps(content).encode()
+    return configuration.Document(key, revision, 'ana', content)
+
+
+def started() -> configuration.Configuration:
+    """Return a configuration with good documents in force."""
+    built = configuration.Configuration(trail=audit.AuditTrail())
+    built.offer(
+        [document('register', 1, register()), document('rules', 2, rules())],
+        0.0,
+    )
+    assert built.ready
+    return built
+
+
+def _two_services() -> dict[str, typing.Any]:
+    both = rules()
+    second = rules(name='b')['services'][0]
+    both['services'].append(second)
+    return both
+
+
+REFUSED = {
+    'unknown instance': (
+        'rules',
+        rules(targets=[{'instance': 'x', 'port': 1, 'weight': 1.0}]),
+        'not in the register',
+    ),
+    'two services on one address': ('rules', _two_services(), 'shares'),
+    'weight of zero': (
+        'rules',
+        rules(targets=[{'instance': 'a-1', 'port': 1, 'weight': 0}]),
+        'weight',
+    ),
+    'capacity below zero': ('register', register(slots=-1), 'slots'),
+    'truncated': ('rules', json.dumps(rules()).encode()[:-9], 'not JSON'),
+    'over a megabyte': ('rules', b' ' * 1_000_001, 'divide'),
+    'duplicate key': (
+        'rules',
+        b'{"services": [], "services": [], "leaving": []}',
+        'stands twice',
+    ),
+    'no target': ('rules', rules(targets=[]), 'no target'),
+    'bad address': ('rules', rules(address='10.1'), 'IPv4'),
+    'not UTF-8': ('rules', b'\xff\xfe', 'not JSON'),
+}
+
+
+@pytest.mark.parametrize('name', REFUSED)
+def test_refused_whole_with_place_and_remedy(name: str) -> None:
+    """A bad document changes nothing, and the audit says why."""
+    key, content, words = REFUSED[name]
+    config = started()
+    before = config.inventory
+    assert not config.offer([document(key, 9, content)], 1.0)
+    assert config.inventory is before
+    assert config.refused == 1
+    record = config._trail.records[-1]
+    assert record.outcome == 'refused'
+    assert record.revision == 9
+    assert words in record.detail
+    assert key in record.detail
+
+
+def test_a_revision_that_goes_back_is_passed_over() -> None:
+    """An older revision never replaces a newer one."""
+    config = started()
+    config.offer([document('rules', 7, rules(port=7000))], 0.0)
+    config.offer([document('rules', 3, rules(port=3000))], 0.0)
+    assert config.inventory.services['a']['port'] == 7000
+
+
+def test_one_revision_with_two_contents_has_a_fixed_winner() -> None:
+    """Processes that read diverged replicas end with the same rules."""
+    one = document('rules', 5, rules(port=5001))
+    two = document('rules', 5, rules(port=5002))
+    ends = []
+    for order in ([one, two], [two, one]):
+        config = started()
+        for item in order:
+            config.offer([item], 0.0)
+        assert config.alarms == 1
+        ends.append((config.inventory, config.digest))
+    assert ends[0] == ends[1]
+
+
+def test_rules_that_came_before_their_register_wait() -> None:
+    """Rules that name an instance not yet registered come in with it."""
+    config = started()
+    wide = register()
+    wide['instances'].append({**register()['instances'][0], 'name': 'a-2'})
+    wide['instances'][1]['address'] = '10.0.0.2'
+    targets = [
+        {'instance': name, 'port': 1, 'weight': 1.0} for name in ('a-1', 'a-2')
+    ]
+    config.offer([document('rules', 4, rules(targets=targets))], 0.0)
+    assert len(config.inventory.services['a']['targets']) == 1
+    config.offer([document('register', 5, wide)], 0.0)
+    assert len(config.inventory.services['a']['targets']) == 2
+
+
+def test_one_teams_mistake_does_not_hold_up_another() -> None:
+    """A bad part stays out while a good one comes into force."""
+    config = started()
+    other = rules(name='b', address='10.1.0.2')
+    config.offer(
+        [document('rules.x', 6, b'{'), document('rules.y', 7, other)], 0.0
+    )
+    assert set(config.inventory.services) == {'a', 'b'}
+
+
+@hypothesis.given(strategies.permutations(range(3, 9)), strategies.data())
+def test_any_order_ends_the_same(
+    order: list[int], data: strategies.DataObject
+) -> None:
+    """Whatever order revisions arrive in, the newest good one stands."""
+    config = started()
+    highest = 2
+    for revision in order:
+        config.offer([document('rules', revision, rules(port=revision))], 0.0)
+        highest = max(highest, revision)
+        assert config.inventory.services['a']['port'] == highest
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_garbage_never_gets_through(content: bytes) -> None:
+    """Whatever bytes are published, the last good rules stay."""
+    config = started()
+    config.offer([document('rules', 9, content)], 0.0)
+    assert 'a' in config.inventory.services
+
+
+def test_schemas_name_every_field() -> None:
+    """The published schema comes from the types that the code checks."""
+    text = json.dumps(inventory.json_schema(inventory.Rules))
+    for field in ('services', 'leaving', 'request_classes', 'weight'):
+        assert field in text
+
+
+def test_unknown_key_is_refused() -> None:
+    """A key that is neither register nor rules is named as such."""
+    with pytest.raises(exceptions.DocumentError, match='neither'):
+        configuration.check_documents([document('other', 1, {})])
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,57 @@
+"""Test that packets reach their own service or none."""
+
+from __future__ import annotations
+
+import copy
+
+from bench import world
+from tests import promises
+
+
+def test_a_reused_address_never_reaches_the_former_service(
+    small: world.World,
+) -> None:
+    """An address given to another service brings nobody to the old one.
+
+    Symptom: a pour order lands at ticket intake. Sequence: the two services
+    change addresses in one revision, while one balancer and one agent are
+    frozen with the old rules. Cause to guard against: either of them alone
+    taking the old table for true.
+    """
+    small.pause('balancer-1', 20.0)
+    small.pause('dispatch-1', 20.0)
+    changed = copy.deepcopy(small.rules)
+    first, second = changed['services']
+    first['address'], second['address'] = second['address'], first['address']
+    small.publish('rules', changed)
+    small.run_until(small.now + 4.0)
+    small.rules = changed
+    callers = [small.add_caller('dispatch') for _ in range(30)]
+    callers += [small.add_caller('tickets') for _ in range(30)]
+    for _ in range(25):
+        for caller in callers:
+            caller.ask('PUT', 'scans')
+        small.run_until(small.now + 1.0)
+    small.run_until(small.now + 60.0)
+    assert promises.misrouted(small) == []
+    assert promises.outcomes(small)['answer'] > 1000
+
+
+def test_unknown_service_is_dropped_and_counted(small: world.World) -> None:
+    """A packet to an address nobody serves goes nowhere."""
+    node = small.processes['balancer-1'].node
+    stranger = world.flow.flow_key(
+        world.flow.Endpoint('10.8.0.1', 5), world.flow.Endpoint('10.9.9.9', 5)
+    )
+    assert node.router.route(stranger) is None
+    assert node.router.dropped['unknown_service'] == 1
+
+
+def test_agent_drops_what_is_for_another_service(small: world.World) -> None:
+    """The agent compares the packet's service with its own."""
+    node = small.processes['dispatch-1'].node
+    caller = small.add_caller('tickets')
+    number = node.find('dispatch').service.number
+    packet = world.proxy_header.Packet(caller.flow, number, 1, 0, 0, b'')
+    assert node.on_packet(packet, small.now) == []
+    assert node.counters['dropped_wrong_service'] == 1
--- /dev/null
+++ b/tests/test_spreading.py
@@ -0,0 +1,121 @@
+"""Test that configuration reaches every process, with few reads."""
+
+from __future__ import annotations
+
+from bench import world
+from teaseldock import configuration
+
+
+def generations(run: world.World) -> set[int]:
+    """Return the revisions in force at living processes."""
+    return {
+        process.node.config.generation
+        for process in run.processes.values()
+        if process.alive
+    }
+
+
+def test_in_force_everywhere_within_four_seconds(small: world.World) -> None:
+    """Each of ten changes is in force at every process in 4 s."""
+    for step in range(10):
+        small.rules['leaving'] = [f'dispatch-{step % 3 + 1}']
+        revision = small.publish('rules', small.rules)
+        began = small.now
+        small.run_until(began + 4.0)
+        assert generations(small) == {revision}
+        for process in small.processes.values():
+            assert process.in_force[revision] - began <= 4.0
+
+
+def test_reads_do_not_grow_with_the_processes() -> None:
+    """Twice the targets make no more reads for each change."""
+    reads = []
+    for count in (4, 12):
+        shape = world.Shape(
+            'x', (('dispatch', count),), 2, 0.001, 0.001, 'orders', 'dispatch'
+        )
+        run = world.World(shape, seed=5, balancers=3)
+        run.run_until(8.0)
+        before = run.reads
+        for _ in range(5):
+            run.publish('rules', run.rules)
+            run.run_until(run.now + 2.0)
+        reads.append(run.reads - before)
+    assert reads[1] <= reads[0]
+
+
+def test_a_replacement_takes_the_newest_though_the_platform_is_stale(
+    small: world.World,
+) -> None:
+    """A new process doesn't bring back rules that its peers replaced.
+
+    Symptom: a drained target gets new work again. Sequence: rules change,
+    then the configuration service answers with what stood before, and a
+    balancer is replaced. Cause to guard against: the newcomer serving what
+    the service told it.
+    """
+    stale = dict(small.documents)
+    small.rules['leaving'] = ['dispatch-1']
+    revision = small.publish('rules', small.rules)
+    small.run_until(small.now + 3.0)
+    small.documents = stale
+    small.start_balancer('balancer-9')
+    node = small.processes['balancer-9'].node
+    served_old = []
+    for _ in range(100):
+        small.run_until(small.now + 0.05)
+        if node.ready and node.config.generation != revision:
+            served_old.append(small.now)
+    assert node.ready
+    assert served_old == []
+
+
+def test_newcomer_without_platform_learns_from_peers(
+    small: world.World,
+) -> None:
+    """With the service down for long, a greeted peer is enough."""
+    small.set_platform(False)
+    small.run_until(small.now + 600.0)
+    small.start_balancer('balancer-9')
+    node = small.processes['balancer-9'].node
+    peer = small.register['instances'][0]
+    address = world.flow.Endpoint(peer['address'], peer['peer_port'])
+    small._perform('balancer-9', node.introduce([address], small.now))
+    small.run_until(small.now + 4.0)
+    assert node.ready
+    assert generations(small) == {small._revision}
+
+
+def test_two_readers_of_diverged_replicas_agree_in_the_end(
+    small: world.World,
+) -> None:
+    """Different contents of one revision are settled by the peers."""
+    held = small.documents['rules']
+    other = held.content.replace(b'"weight": 2.0', b'"weight": 3.0')
+    for number, name in enumerate(list(small.processes)):
+        content = other if number % 2 else held.content
+        document = configuration.Document('rules', 50, 'op', content)
+        small._offer(name, [document])
+    small.run_until(small.now + 4.0)
+    checksums = {
+        process.node.config.digest.checksum
+        for process in small.processes.values()
+    }
+    assert len(checksums) == 1
+
+
+def test_cold_start_of_the_whole_fleet(small: world.World) -> None:
+    """Every process killed and started at once: all serve again."""
+    for name in list(small.processes):
+        small.kill(name)
+    small.run_until(small.now + 1.0)
+    for instance in small.register['instances']:
+        small.start_agent(instance)
+    for name in ('balancer-1', 'balancer-2'):
+        small.start_balancer(name)
+    small.run_until(small.now + 5.0)
+    assert all(process.node.ready for process in small.processes.values())
+    caller = small.add_caller('dispatch')
+    caller.ask('POST', 'orders')
+    small.run_until(small.now + 1.0)
+    assert small.asked[-1].outcome == 'answer'
