--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,380 @@
+"""Run the same scenarios with simple policies, to compare with.
+
+A balancer of a baseline chooses a target for each request by its own
+knowledge; servers queue. Nothing binds a flow or a request to one place but
+the policy itself. ``bound`` knows each target's queue perfectly and at once.
+"""
+
+from __future__ import annotations
+
+import abc
+import collections
+import heapq
+import random
+import typing
+
+from bench import fakes
+from bench import scenarios
+from bench import world
+from teaseldock import table
+
+#: Seconds between two reports of load, which is how old they get.
+REPORT_S = 0.5
+#: Seconds until a crash is known to the balancers.
+DETECTION_S = 3.0
+#: Seconds until rules are in force at all balancers, each at its own time.
+SPREAD_S = 1.0
+#: Seconds between two packets of a feed's caller.
+FEED_PACKET_S = 2.0
+BALANCERS = 3
+
+
+class Policy(abc.ABC):
+    """Choose a target for a request."""
+
+    def __init__(self, names: list[str], seed: int) -> None:
+        """Start with what all balancers share."""
+        self._names = names
+        self._random = random.Random(seed)
+
+    @abc.abstractmethod
+    def choose(
+        self, balancer: int, flow: int, able: list[str], run: BaselineRun
+    ) -> str:
+        """Return one of the able targets."""
+
+
+class TableHash(Policy):
+    """The flow's place in a rendezvous table."""
+
+    def choose(
+        self, balancer: int, flow: int, able: list[str], run: BaselineRun
+    ) -> str:
+        """Return the first able target in rank."""
+        ranked = run.table.rank(hash((flow, 77)) % 256)
+        return next(name for name in ranked if name in able)
+
+
+class RoundRobin(Policy):
+    """Each balancer's own turn."""
+
+    def __init__(self, names: list[str], seed: int) -> None:
+        """Start each balancer somewhere else."""
+        super().__init__(names, seed)
+        self._next = [self._random.randrange(99) for _ in range(BALANCERS)]
+
+    def choose(
+        self, balancer: int, flow: int, able: list[str], run: BaselineRun
+    ) -> str:
+        """Return the next in turn."""
+        self._next[balancer] += 1
+        return able[self._next[balancer] % len(able)]
+
+
+class LeastConnections(Policy):
+    """The least loaded by reports that lag."""
+
+    def choose(
+        self, balancer: int, flow: int, able: list[str], run: BaselineRun
+    ) -> str:
+        """Return the least by the last report, at random among equals."""
+        return min(
+            able, key=lambda n: (run.reported[n], self._random.random())
+        )
+
+
+class TwoChoices(Policy):
+    """The less loaded of two at random, by reports that lag."""
+
+    def choose(
+        self, balancer: int, flow: int, able: list[str], run: BaselineRun
+    ) -> str:
+        """Return the less loaded of two."""
+        picked = self._random.sample(able, min(2, len(able)))
+        return min(picked, key=lambda n: run.reported[n])
+
+
+class Bound(Policy):
+    """The least loaded, known perfectly and at once; not deployable."""
+
+    def choose(
+        self, balancer: int, flow: int, able: list[str], run: BaselineRun
+    ) -> str:
+        """Return the least loaded, at random among equals."""
+        return min(able, key=lambda n: (run.busy(n), self._random.random()))
+
+
+POLICIES: dict[str, type[Policy]] = {
+    'table-hash': TableHash,
+    'round-robin': RoundRobin,
+    'least-connections': LeastConnections,
+    'two-choices': TwoChoices,
+    'bound': Bound,
+}
+
+
+class _Server:
+    def __init__(self) -> None:
+        self.running = 0
+        self.queue: list[tuple] = []
+        self.alive = True
+
+
+class BaselineRun:
+    """One scenario under one policy."""
+
+    def __init__(
+        self,
+        scenario: scenarios.Scenario,
+        shape: world.Shape,
+        seed: int,
+        policy: str,
+    ) -> None:
+        """Prepare servers and balancers."""
+        self.scenario = scenario
+        self.shape = shape
+        self.policy_name = policy
+        self.service, count = shape.services[0]
+        self.names = [f'{self.service}-{n}' for n in range(1, count + 1)]
+        self.random = random.Random(seed)
+        self.policy = POLICIES[policy](self.names, seed)
+        self.table = table.ServiceTable(
+            {
+                'name': self.service,
+                'address': '10.0.0.1',
+                'port': 1,
+                'targets': [
+                    {'instance': n, 'port': 1, 'weight': 1.0}
+                    for n in self.names
+                ],
+                'request_classes': [],
+            }
+        )
+        self.servers = {name: _Server() for name in self.names}
+        self.reported = dict.fromkeys(self.names, 0)
+        self.lying: set[str] = set()
+        self.known_out = [set() for _ in range(BALANCERS)]
+        self.disabled = scenarios.Disabled()
+        self.capacity = count * shape.slots / scenario.service_s
+        self.now = 0.0
+        self.ran: list[fakes.Ran] = []
+        self.asked: list[fakes.Asked] = []
+        self.feed_place: dict[int, str] = {}
+        self.broken_feeds: set[int] = set()
+        self._events: list = []
+        self._count = 0
+
+    def schedule(self, delay: float, action: typing.Callable, *args) -> None:
+        """Call something later."""
+        self._count += 1
+        heapq.heappush(
+            self._events, (self.now + delay, self._count, action, args)
+        )
+
+    def busy(self, name: str) -> int:
+        """Return what runs and waits at a target now."""
+        server = self.servers[name]
+        return server.running + len(server.queue)
+
+    def run(self) -> dict[str, typing.Any]:
+        """Let it happen and return the measures."""
+        self.schedule(0.0, self._report)
+        self.schedule(scenarios.WARM_S - 1.0, self._arrive)
+        for feed in range(scenarios.FEEDS):
+            at = scenarios.WARM_S - 1.0 + self.random.random()
+            self.schedule(at, self._feed_packet, feed)
+        for at, name, argument in self.scenario.events:
+            self.schedule(scenarios.WARM_S + at, self._event, name, argument)
+        end = scenarios.WARM_S + scenarios.MEASURED_S + scenarios.TAIL_S
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        return self._measure()
+
+    def _able(self, balancer: int) -> list[str]:
+        out = self.known_out[balancer]
+        return [name for name in self.names if name not in out] or self.names
+
+    def _report(self) -> None:
+        self.schedule(REPORT_S, self._report)
+        for name in self.names:
+            self.reported[name] = self.busy(name)
+            if name in self.lying:
+                self.reported[name] = 0
+
+    def _arrive(self) -> None:
+        if self.now > scenarios.WARM_S + scenarios.MEASURED_S:
+            return
+        rate = self.scenario.load * self.capacity
+        self.schedule(self.random.expovariate(rate), self._arrive)
+        flow = self.random.randrange(scenarios.CALLERS)
+        if self.random.random() < self.scenario.hot:
+            flow = 0
+        self._count += 1
+        guarded = self.random.random() < scenarios.GUARDED_SHARE
+        self._send(flow, f'{self.service}-{self._count}', guarded, self.now, 0)
+
+    def _send(
+        self, flow: int, identity: str, guarded: bool, began: float, tries: int
+    ) -> None:
+        balancer = self.random.randrange(BALANCERS)
+        name = self.policy.choose(balancer, flow, self._able(balancer), self)
+        server = self.servers[name]
+        request = (flow, identity, guarded, began)
+        if not server.alive:
+            self._repeat(request, tries)
+            return
+        waiting = len(server.queue) * self.scenario.service_s
+        if waiting / self.shape.slots > 1.0:
+            self._finish(request, 'not run')
+            return
+        server.queue.append((request, tries))
+        self._fill(name)
+
+    def _repeat(self, request: tuple, tries: int) -> None:
+        """Let the caller repeat its message, as no answer came."""
+        if tries >= fakes.CALLER_REPEATS:
+            self._finish(request, 'lost')
+            return
+        delay = fakes.CALLER_REPEAT_S * 2**tries
+        self.schedule(delay, self._send, *request, tries + 1)
+
+    def _fill(self, name: str) -> None:
+        server = self.servers[name]
+        while server.queue and server.running < self.shape.slots:
+            request, tries = server.queue.pop(0)
+            server.running += 1
+            weight = 2.0 if request[2] else 1.0
+            self.ran.append(
+                fakes.Ran(
+                    self.now,
+                    name,
+                    self.service,
+                    request[1],
+                    request[2],
+                    weight,
+                )
+            )
+            seconds = self.random.expovariate(1 / self.scenario.service_s)
+            self.schedule(seconds, self._done, name, request, tries)
+
+    def _done(self, name: str, request: tuple, tries: int) -> None:
+        server = self.servers[name]
+        if not server.alive:
+            self._repeat(request, tries)
+            return
+        server.running -= 1
+        self._finish(request, 'answer')
+        self._fill(name)
+
+    def _finish(self, request: tuple, outcome: str) -> None:
+        _, identity, guarded, began = request
+        kind = self.shape.guarded if guarded else 'status'
+        self.asked.append(
+            fakes.Asked(began, identity, kind, outcome, self.now - began)
+        )
+
+    def _feed_packet(self, feed: int) -> None:
+        """Send a feed's caller's packet; it must find its target."""
+        balancer = self.random.randrange(BALANCERS)
+        able = self._able(balancer)
+        place = self.policy.choose(balancer, 10_000 + feed, able, self)
+        first = self.feed_place.setdefault(feed, place)
+        if place != first or not self.servers[first].alive:
+            self.broken_feeds.add(feed)
+        if self.now < scenarios.WARM_S + scenarios.MEASURED_S:
+            self.schedule(FEED_PACKET_S, self._feed_packet, feed)
+
+    def _event(self, name: str, argument: typing.Any) -> None:
+        handler = getattr(self, f'_on_{name}', None)
+        if handler is not None:
+            handler(argument)
+
+    def _tell(self, name: str, out: bool, delay: float) -> None:
+        for balancer in range(BALANCERS):
+            spread = self.random.random() * SPREAD_S
+            if self.policy_name == 'bound':
+                delay = spread = 0.0
+            self.schedule(delay + spread, self._learn, balancer, name, out)
+
+    def _learn(self, balancer: int, name: str, out: bool) -> None:
+        if out or not self.servers[name].alive:
+            self.known_out[balancer].add(name)
+        else:
+            self.known_out[balancer].discard(name)
+
+    def _on_leaving(self, numbers: tuple[int, ...]) -> None:
+        leaving = {self.names[n - 1] for n in numbers}
+        for name in self.names:
+            self._tell(name, name in leaving, 0.0)
+            if name in leaving:
+                self.disabled.begin(name, self.now)
+            else:
+                self.disabled.end(name, self.now)
+
+    def _on_word(self, number: int) -> None:
+        self._tell(self.names[number - 1], True, 0.0)
+        self.disabled.begin(self.names[number - 1], self.now)
+
+    def _on_crash(self, number: int) -> None:
+        name = self.names[number - 1]
+        self.disabled.begin(name, self.now)
+        server = self.servers[name]
+        server.alive = False
+        for request, tries in server.queue:
+            self._repeat(request, tries)
+        server.queue.clear()
+        server.running = 0
+        self._tell(name, True, DETECTION_S)
+
+    def _on_restart(self, number: int) -> None:
+        self._on_crash(number)
+        self.schedule(3.0, self._start_again, number)
+
+    def _start_again(self, number: int) -> None:
+        name = self.names[number - 1]
+        self.servers[name] = _Server()
+        self._tell(name, False, 0.0)
+        self.disabled.end(name, self.now + 4.0)
+
+    def _on_lie(self, numbers: tuple[int, ...]) -> None:
+        self.lying = {self.names[n - 1] for n in numbers}
+
+    def _measure(self) -> dict[str, typing.Any]:
+        ratios = scenarios.window_ratios(self.ran, self.names, self.disabled)
+        counts = collections.Counter(item.identity for item in self.ran)
+        lost = [item for item in self.asked if item.outcome == 'lost']
+        broken = float(len(self.broken_feeds))
+        for item in lost:
+            guarded = item.kind == self.shape.guarded
+            broken += scenarios.GUARDED_WEIGHT if guarded else 1.0
+        answered = [i for i in self.asked if i.outcome == 'answer']
+        start = scenarios.WARM_S
+        done = sum(
+            start <= i.at + i.seconds < start + scenarios.MEASURED_S
+            for i in answered
+        )
+        of_kind = [i for i in self.asked if i.kind == self.shape.guarded]
+        good = sum(i.outcome == 'answer' for i in of_kind)
+        latency = [item.seconds for item in answered]
+        return {
+            'broken_flows_weighted': broken,
+            'broken_unexcused_weighted': broken,
+            'imbalance_p50': scenarios.percentile(ratios, 0.5),
+            'imbalance_p99': scenarios.percentile(ratios, 0.99),
+            'lost': len(lost),
+            'outcome_unknown': 0,
+            'refused_not_run': sum(i.outcome == 'not run' for i in self.asked),
+            'ran_twice': len(
+                {r.identity for r in self.ran if r.guarded}
+                & {identity for identity, n in counts.items() if n > 1}
+            ),
+            'misrouted': 0,
+            'untrue_refusals': 0,
+            'goodput': done / scenarios.MEASURED_S / self.capacity,
+            'goodput_guarded': good / len(of_kind) if of_kind else 1.0,
+            'p99_latency_ms': 1000 * scenarios.percentile(latency, 0.99),
+            'control_bytes_per_s_max': 0.0,
+            'config_in_force_s_max': 0.0,
+            'ratios': ratios,
+        }
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,393 @@
+"""Define what happens in each run, and measure the outcome."""
+
+from __future__ import annotations
+
+import collections
+import math
+import typing
+
+from bench import fakes
+from bench import world
+
+#: Seconds before arrivals count, and seconds that are measured.
+WARM_S = 3.0
+MEASURED_S = 12.0
+#: Seconds after the last arrival for answers and repeats.
+TAIL_S = 8.0
+#: Flows that requests come on, and feeds beside them.
+CALLERS = 300
+FEEDS = 30
+#: Share of requests that must not run twice.
+GUARDED_SHARE = 0.5
+#: Load of the second service, share of its capacity.
+OTHER_LOAD = 0.3
+#: Weight of a broken order or hours entry; anything else weighs one.
+GUARDED_WEIGHT = 2.0
+
+
+class Scenario(typing.NamedTuple):
+    """One kind of run.
+
+    :ivar load: offered share of the first service's capacity.
+    :ivar service_s: mean time of one request.
+    :ivar events: time after the warm-up, name of the event, argument.
+    :ivar planned: whether no event kills a holder.
+    :ivar hot: share of arrivals that come on one flow.
+    """
+
+    name: str
+    load: float
+    service_s: float
+    events: tuple[tuple[float, str, typing.Any], ...] = ()
+    planned: bool = True
+    hot: float = 0.0
+
+
+def _leaving(*steps: tuple[float, tuple[int, ...]]) -> tuple:
+    return tuple((at, 'leaving', numbers) for at, numbers in steps)
+
+
+_TEN = _leaving(*((1.1 * n, (n % 4 + 1,)) for n in range(10)))
+SCENARIOS = {
+    item.name: item
+    for item in (
+        Scenario('steady-50', 0.5, 0.02),
+        Scenario('steady-80', 0.8, 0.02),
+        Scenario('steady-95', 0.95, 0.02),
+        Scenario('steady-80-slow', 0.8, 0.1),
+        Scenario('steady-95-slow', 0.95, 0.1),
+        Scenario('double', 2.0, 0.02),
+        Scenario('drain', 0.6, 0.02, _leaving((2.0, (1,)), (8.0, ()))),
+        Scenario('crash', 0.6, 0.02, ((3.0, 'crash', 1),), planned=False),
+        Scenario('cold-start', 0.6, 0.02, ((2.0, 'restart', 1),), False),
+        Scenario(
+            'balancers-rolling',
+            0.6,
+            0.02,
+            (
+                (1.0, 'balancer', 1),
+                (4.0, 'balancer', 2),
+                (7.0, 'balancer', 3),
+            ),
+        ),
+        Scenario(
+            'outage',
+            0.6,
+            0.02,
+            ((0.5, 'down', None), (3.0, 'word', 1), (11.0, 'up', None)),
+        ),
+        Scenario(
+            'partition',
+            0.6,
+            0.02,
+            ((1.0, 'part', (1, 2)), (7.0, 'heal', None)),
+            planned=False,
+        ),
+        Scenario('lying-reports', 0.8, 0.02, ((0.0, 'lie', (1, 2)),)),
+        Scenario('hot-caller', 0.8, 0.02, hot=0.3),
+        Scenario('ten-changes', 0.5, 0.02, _TEN),
+        Scenario(
+            'changes-and-crashes',
+            0.5,
+            0.02,
+            _TEN + ((2.5, 'crash', 6), (5.0, 'balancer', 1)),
+            planned=False,
+        ),
+    )
+}
+
+
+class Disabled:
+    """When each target of the first service could not take new work."""
+
+    def __init__(self) -> None:
+        """Start with all able."""
+        self._since: dict[str, float] = {}
+        self._spans: list[tuple[str, float, float]] = []
+
+    def begin(self, name: str, at: float) -> None:
+        """Note that a target is out."""
+        self._since.setdefault(name, at)
+
+    def end(self, name: str, at: float) -> None:
+        """Note that a target is in again; it may take 3 s until it's used."""
+        since = self._since.pop(name, None)
+        if since is not None:
+            self._spans.append((name, since, at + 3.0))
+
+    def able(self, names: list[str], start: float, end: float) -> list[str]:
+        """Return the targets that were able throughout a window."""
+        out = {name for name, since in self._since.items() if since < end}
+        for name, since, until in self._spans:
+            if since < end and until > start:
+                out.add(name)
+        return [name for name in names if name not in out]
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value below which a share of all values lies."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def window_ratios(
+    ran: list[fakes.Ran], names: list[str], disabled: Disabled
+) -> list[float]:
+    """Return, for each second, the most loaded target over the mean.
+
+    Imbalance is defined here, once: load over paid share, for each target, in
+    windows of one second. Load is the weight of the requests that began to
+    run; a target that may take no new work is left out of its windows.
+    """
+    windows: dict[int, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    wanted = set(names)
+    for item in ran:
+        if item.instance in wanted:
+            windows[int(item.at)][item.instance] += item.weight
+    ratios = []
+    first, last = int(WARM_S), int(WARM_S + MEASURED_S)
+    for second in range(first, last):
+        able = disabled.able(names, second, second + 1)
+        loads = [windows[second][name] for name in able]
+        if loads and sum(loads):
+            ratios.append(max(loads) * len(loads) / sum(loads))
+    return ratios
+
+
+class Run:
+    """One scenario with the real decisions."""
+
+    def __init__(
+        self, scenario: Scenario, shape: world.Shape, seed: int
+    ) -> None:
+        """Prepare the deployment and its callers."""
+        self.scenario = scenario
+        self.shape = shape
+        self.world = world.World(
+            shape, seed=seed, service_s=scenario.service_s
+        )
+        self.service, count = shape.services[0]
+        self.names = [f'{self.service}-{n}' for n in range(1, count + 1)]
+        self.capacity = count * shape.slots / scenario.service_s
+        self.disabled = Disabled()
+        self.excused_flows: set[bytes] = set()
+        self.excused: set[str] = set()
+        self.balancers = 3
+
+    def run(self) -> dict[str, typing.Any]:
+        """Let it happen and return the measures."""
+        drive = self.world
+        drive.run_until(WARM_S - 1.0)
+        self.callers = [drive.add_caller(self.service) for _ in range(CALLERS)]
+        self.others = [
+            drive.add_caller(self.shape.services[1][0]) for _ in range(40)
+        ]
+        self.feeds = [drive.add_caller(self.service) for _ in range(FEEDS)]
+        for feed in self.feeds:
+            feed.observe()
+        self._arrive()
+        self._arrive_other()
+        for at, name, argument in self.scenario.events:
+            drive.schedule(
+                WARM_S + at - drive.now, self._event, name, argument
+            )
+        drive.run_until(WARM_S + MEASURED_S + TAIL_S)
+        return self._measure()
+
+    def _arrive(self) -> None:
+        drive = self.world
+        if drive.now > WARM_S + MEASURED_S:
+            return
+        rate = self.scenario.load * self.capacity
+        drive.schedule(drive.random.expovariate(rate), self._arrive)
+        caller = drive.random.choice(self.callers)
+        if self.scenario.hot and drive.random.random() < self.scenario.hot:
+            caller = self.callers[0]
+        if drive.random.random() < GUARDED_SHARE:
+            caller.ask('POST', self.shape.guarded)
+        else:
+            caller.ask('GET', 'status')
+
+    def _arrive_other(self) -> None:
+        drive = self.world
+        if drive.now > WARM_S + MEASURED_S:
+            return
+        count = self.shape.services[1][1]
+        capacity = count * self.shape.slots / self.scenario.service_s
+        wait = drive.random.expovariate(OTHER_LOAD * capacity)
+        drive.schedule(wait, self._arrive_other)
+        drive.random.choice(self.others).ask('PUT', 'scans')
+
+    def _event(self, name: str, argument: typing.Any) -> None:
+        getattr(self, f'_on_{name}')(argument)
+
+    def _on_leaving(self, numbers: tuple[int, ...]) -> None:
+        drive = self.world
+        leaving = [self.names[n - 1] for n in numbers]
+        for name in self.names:
+            if name in leaving:
+                self.disabled.begin(name, drive.now)
+            else:
+                self.disabled.end(name, drive.now)
+        drive.rules['leaving'] = leaving
+        drive.publish('rules', drive.rules)
+
+    def _on_word(self, number: int) -> None:
+        self.disabled.begin(self.names[number - 1], self.world.now)
+        self.world.leave(self.names[number - 1])
+
+    def _excuse(self, name: str) -> None:
+        """Leave out what dies with a holder, or runs at it."""
+        node = self.world.processes[name].node
+        for item in node.targets:
+            self.excused_flows.update(item.holder.flows)
+        answered = {item.identity for item in self.world.asked}
+        for item in self.world.ran:
+            if item.instance == name and item.identity not in answered:
+                self.excused.add(item.identity)
+
+    def _on_crash(self, number: int) -> None:
+        name = self.names[number - 1]
+        self._excuse(name)
+        self.disabled.begin(name, self.world.now)
+        self.world.kill_instance(name)
+
+    def _on_restart(self, number: int) -> None:
+        self._on_crash(number)
+        self.world.schedule(3.0, self._start_again, number)
+
+    def _start_again(self, number: int) -> None:
+        drive = self.world
+        server = drive.servers[self.names[number - 1], self.service]
+        server.up = True
+        server.cold_until = drive.now + 3.0
+        drive.start_agent(drive.register['instances'][number - 1])
+        self.disabled.end(self.names[number - 1], drive.now + 4.0)
+
+    def _on_balancer(self, number: int) -> None:
+        drive = self.world
+        self.balancers += 1
+        drive.start_balancer(f'balancer-{self.balancers}')
+        drive.list_leaving(f'balancer-{number}')
+        drive.leave(f'balancer-{number}')
+
+    def _on_down(self, _: None) -> None:
+        self.world.set_platform(False)
+
+    def _on_up(self, _: None) -> None:
+        self.world.set_platform(True)
+
+    def _on_part(self, numbers: tuple[int, ...]) -> None:
+        cut = [self.names[n - 1] for n in numbers]
+        for name in cut:
+            self._excuse(name)
+            self.disabled.begin(name, self.world.now)
+        self.world.part([*cut, 'balancer-1'])
+
+    def _on_heal(self, _: None) -> None:
+        self.world.part([])
+        for name in self.names:
+            self.disabled.end(name, self.world.now)
+
+    def _on_lie(self, numbers: tuple[int, ...]) -> None:
+        """Do nothing: the decisions read no endpoint that could lie."""
+
+    def _measure(self) -> dict[str, typing.Any]:
+        drive = self.world
+        asked = [item for item in drive.asked if item.kind != 'feed']
+        runs = collections.Counter(item.identity for item in drive.ran)
+        broken, unexcused = self._broken(asked)
+        ratios = window_ratios(drive.ran, self.names, self.disabled)
+        answered = [item for item in asked if item.outcome == 'answer']
+        return {
+            'broken_flows_weighted': broken,
+            'broken_unexcused_weighted': unexcused,
+            'imbalance_p50': percentile(ratios, 0.5),
+            'imbalance_p99': percentile(ratios, 0.99),
+            'lost': sum(item.outcome == 'lost' for item in asked),
+            'outcome_unknown': sum(
+                item.outcome == 'outcome unknown' for item in asked
+            ),
+            'refused_not_run': sum(
+                item.outcome == 'not run' for item in asked
+            ),
+            'ran_twice': len(
+                {r.identity for r in drive.ran if r.guarded}
+                & {identity for identity, n in runs.items() if n > 1}
+            ),
+            'misrouted': sum(
+                not r.identity.startswith(f'{r.service}-') for r in drive.ran
+            )
+            + sum(item.outcome == 'crossed' for item in asked),
+            'untrue_refusals': sum(
+                item.outcome == 'not run' and runs[item.identity] > 0
+                for item in asked
+            ),
+            'goodput': self._goodput(answered),
+            'goodput_guarded': self._guarded(asked),
+            'p99_latency_ms': 1000
+            * percentile([item.seconds for item in answered], 0.99),
+            'control_bytes_per_s_max': max(
+                rate
+                for process in drive.processes.values()
+                for rate in process.control.values()
+            )
+            / world.CONTROL_WINDOW_S,
+            'config_in_force_s_max': self._in_force(),
+            'ratios': ratios,
+        }
+
+    def _broken(self, asked: list[fakes.Asked]) -> tuple[float, float]:
+        guarded = self.shape.guarded
+        total = 0.0
+        unexcused = 0.0
+        flows = {f'{c.number}': c.flow for c in drive_callers(self.world)}
+        for item in asked:
+            if item.outcome not in ('lost', 'outcome unknown'):
+                continue
+            weight = GUARDED_WEIGHT if item.kind == guarded else 1.0
+            total += weight
+            flow = flows[item.identity.rsplit('-', 2)[1]]
+            if item.identity in self.excused or flow in self.excused_flows:
+                continue
+            unexcused += weight
+        for feed in self.feeds:
+            if not feed.feed_broken():
+                continue
+            total += 1.0
+            if feed.flow not in self.excused_flows:
+                unexcused += 1.0
+        return total, unexcused
+
+    def _goodput(self, answered: list[fakes.Asked]) -> float:
+        """Return answers of the first service over its capacity."""
+        done = sum(
+            item.identity.startswith(f'{self.service}-')
+            and WARM_S <= item.at + item.seconds < WARM_S + MEASURED_S
+            for item in answered
+        )
+        return done / MEASURED_S / self.capacity
+
+    def _guarded(self, asked: list[fakes.Asked]) -> float:
+        """Return the share of guarded requests that were answered."""
+        of_kind = [i for i in asked if i.kind == self.shape.guarded]
+        good = sum(item.outcome == 'answer' for item in of_kind)
+        return good / len(of_kind) if of_kind else 1.0
+
+    def _in_force(self) -> float:
+        longest = 0.0
+        for process in self.world.processes.values():
+            for revision, at in process.in_force.items():
+                published = self.world.published.get(revision)
+                if published and published > WARM_S - 1.0:
+                    longest = max(longest, at - published)
+        return longest
+
+
+def drive_callers(drive: world.World) -> list[fakes.FakeCaller]:
+    """Return all callers of a run."""
+    return list(drive.callers.values())
--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -20,7 +20,7 @@
 #: Peers that one report goes to; bounds traffic in large services.
 LOADS_FANOUT = 6
 #: A report is repeated this often even if nothing changed, seconds.
-LOADS_REPEAT_S = 1.0
+LOADS_REPEAT_S = 0.35
 #: Seconds for which a leaving agent stays after its last packet of work, for
 #: callers that hold its challenges and for peers that hear of it late.
 LINGER_S = 3.0
--- a/packages/teaseldock/teaseldock/announcer.py
+++ b/packages/teaseldock/teaseldock/announcer.py
@@ -15,9 +15,6 @@
 
 #: Flows in one message, about 700 bytes.
 FLOWS_PER_BATCH = 40
-#: Bytes a second that announcements may take, and how many at once.
-BYTES_PER_S = 4000.0
-BURST_BYTES = 4000.0
 #: Bytes of a message and its acknowledgement without flows, and of one flow.
 MESSAGE_BYTES = 200
 FLOW_BYTES = 16
@@ -57,8 +54,6 @@
         self._queues: dict[Owner, collections.deque[bytes]] = {}
         self._batches: dict[int, _Batch] = {}
         self._changed_at = 0.0
-        self._tokens = BURST_BYTES
-        self._last_tick: float | None = None
 
     @property
     def waiting(self) -> int:
@@ -109,17 +104,13 @@
 
     def tick(self, now: float) -> list[messages.Action]:
         """Send what the budget allows, repeats first."""
-        elapsed = now - (self._last_tick or now)
-        self._last_tick = now
-        earned = elapsed * BYTES_PER_S
-        self._tokens = min(BURST_BYTES, self._tokens + earned)
         actions: list[messages.Action] = []
         for number, batch in list(self._batches.items()):
-            if now >= batch.repeat_at and self._tokens > 0:
+            if now >= batch.repeat_at and self._shared.budget.has_room(now):
                 del self._batches[number]
                 actions += self._repeat(batch, now)
         for owner in list(self._queues):
-            if self._tokens <= 0:
+            if not self._shared.budget.has_room(now):
                 break
             actions += self._send_next(owner, now)
         return actions
@@ -147,7 +138,8 @@
             return []
         number = next(self._shared.calls)
         self._batches[number] = _Batch(owner, chosen, now + REPEAT_S)
-        self._tokens -= MESSAGE_BYTES + FLOW_BYTES * len(chosen)
+        size = MESSAGE_BYTES + FLOW_BYTES * len(chosen)
+        self._shared.budget.spend(size)
         message = messages.Announce(
             self._shared.name,
             self._service.number,
--- a/packages/teaseldock/teaseldock/context.py
+++ b/packages/teaseldock/teaseldock/context.py
@@ -7,6 +7,8 @@
 import random
 import typing
 
+from teaseldock import budget
+
 if typing.TYPE_CHECKING:
     from teaseldock.codecs import base
     from teaseldock import view
@@ -29,6 +31,7 @@
     :ivar name: instance beside whose server the agent runs.
     :ivar counters: events since the start, by name.
     :ivar calls: numbers for requests, unique within the incarnation.
+    :ivar budget: control traffic that announcements and transfers share.
     """
 
     name: str
@@ -38,6 +41,7 @@
     randomness: random.Random
     counters: collections.Counter[str]
     calls: typing.Iterator[int]
+    budget: budget.Budget
 
 
 def new_context(
@@ -57,4 +61,5 @@
         randomness,
         collections.Counter(),
         itertools.count(1),
+        budget.Budget(),
     )
--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -232,7 +232,8 @@
     def _begin(
         self, flow: bytes, key: bytes, request: base.Request, now: float
     ) -> list[messages.Action]:
-        exchange = exchanges.Exchange(flow, request.body, now)
+        guarded = not request.idempotent
+        exchange = exchanges.Exchange(flow, request.body, now, guarded=guarded)
         self._exchanges.begin(key, exchange)
         weight = self.weight_of(request)
         pending = Pending(key, exchange, request, weight, now)
@@ -479,12 +480,19 @@
             self._close(pending)
             self._exchanges.abandon(pending.key)
 
-    def export_results(self, flow: bytes) -> list[messages.Result]:
-        """Return the answers that a flow's caller may still ask for."""
+    def export_results(
+        self, flow: bytes, *, since: float
+    ) -> list[messages.Result]:
+        """Return answers that a caller may still ask for, oldest first.
+
+        :param since: exchanges that began earlier are left out.
+        """
         return [
             messages.Result(item.request, item.answer)
             for item in self._exchanges.of_flow(flow)
             if item.answer is not None
+            and item.guarded
+            and item.began_at >= since
         ]
 
     def import_results(
@@ -496,6 +504,8 @@
             key = flow + request.exchange
             if self._exchanges.get(key) is not None:
                 continue
-            exchange = exchanges.Exchange(flow, result.request, now)
+            exchange = exchanges.Exchange(
+                flow, result.request, now, guarded=True
+            )
             self._exchanges.begin(key, exchange)
             self._exchanges.answered(exchange, result.answer)
--- a/packages/teaseldock/teaseldock/drain.py
+++ b/packages/teaseldock/teaseldock/drain.py
@@ -15,8 +15,15 @@
 TRANSFERS_AT_ONCE = 32
 #: Seconds until a transfer without acknowledgement is sent again.
 REPEAT_S = 0.3
+#: Flows without any state that are let go of in one tick.
+RELEASES_PER_TICK = 200
 #: Bytes of answers that one transfer carries; a datagram has room for more.
-RESULT_BYTES = 30_000
+RESULT_BYTES = 8_000
+#: Seconds for which an answer may still be asked for again after this process
+#: has ended: a caller repeats a message after 2 to 3 s, then after 4 to 6.
+RESULT_AGE_S = 10.0
+#: Bytes of a transfer and its acknowledgement, without its contents.
+MESSAGE_BYTES = 250
 
 
 class Drain:
@@ -58,24 +65,33 @@
         self._moved.clear()
 
     def tick(self, now: float) -> list[messages.Action]:
-        """Send transfers, as many at once as the bound allows."""
+        """Move flows, as many at once as the bounds allow."""
         actions: list[messages.Action] = []
         for flow, (name, repeat_at) in list(self._sent.items()):
             if self._shared.view.is_dead(name):
                 del self._sent[flow]
             elif now >= repeat_at:
                 actions += self._transfer(flow, now)
+        releases = 0
         for flow in list(self._holder.flows):
-            if len(self._sent) >= TRANSFERS_AT_ONCE:
+            if releases >= RELEASES_PER_TICK:
                 break
-            if flow not in self._sent and self._holder.may_move(flow, now):
-                actions += self._transfer(flow, now)
+            if flow in self._sent or not self._holder.may_move(flow, now):
+                continue
+            if not self._has_state(flow, now):
+                actions += self._let_go(flow, now)
+                releases += 1
+            elif len(self._sent) < TRANSFERS_AT_ONCE:
+                if self._shared.budget.has_room(now):
+                    actions += self._transfer(flow, now)
         return actions
 
     def move(self, flow: bytes, now: float) -> list[messages.Action]:
-        """Transfer one flow ahead of its turn, because a request came."""
+        """Move one flow ahead of its turn, because a request came."""
         if flow in self._sent or not self._holder.may_move(flow, now):
             return []
+        if not self._has_state(flow, now):
+            return self._let_go(flow, now)
         return self._transfer(flow, now)
 
     def target_of(self, flow: bytes) -> str | None:
@@ -86,25 +102,46 @@
         name = self._shared.view.owner(self._service, bucket)
         return None if name == self._shared.name else name
 
+    def _has_state(self, flow: bytes, now: float) -> bool:
+        """Tell whether a new holder must be told anything of a flow."""
+        return self._holder.feeds.has(flow) or bool(self._results(flow, now))
+
+    def _let_go(self, flow: bytes, now: float) -> list[messages.Action]:
+        name = self.target_of(flow)
+        if name is None:
+            return []
+        self._moved[flow] = name
+        self._shared.counters['flows_moved'] += 1
+        return self._holder.release(flow, now)
+
     def _transfer(self, flow: bytes, now: float) -> list[messages.Action]:
         name = self.target_of(flow)
         if name is None:
             return []
         self._sent[flow] = (name, now + REPEAT_S)
+        feeds = self._holder.feeds.exported(flow)
+        results = self._results(flow, now)
+        size = sum(len(item.request) for item in feeds)
+        size += sum(len(i.request) + len(i.answer) for i in results)
+        self._shared.budget.spend(MESSAGE_BYTES + size)
         message = messages.Transfer(
-            self._shared.name,
-            self._service.number,
-            flow,
-            self._holder.feeds.exported(flow),
-            self._results(flow),
+            self._shared.name, self._service.number, flow, feeds, results
         )
         return self._shared.view.to_peer(name, message)
 
-    def _results(self, flow: bytes) -> list[messages.Result]:
-        """Return the newest answers that fit a datagram."""
+    def _results(self, flow: bytes, now: float) -> list[messages.Result]:
+        """Return the answers that must outlive this process.
+
+        While the process stays, repeats are sent to it by their challenge.
+        Requests without a challenge may run again.
+        """
+        if not self._shared.view.is_stopping:
+            return []
         chosen: list[messages.Result] = []
         room = RESULT_BYTES
-        for item in reversed(self._holder.coordinator.export_results(flow)):
+        since = now - RESULT_AGE_S
+        results = self._holder.coordinator.export_results(flow, since=since)
+        for item in reversed(results):
             room -= len(item.request) + len(item.answer)
             if room < 0:
                 break
--- a/packages/teaseldock/teaseldock/exchanges.py
+++ b/packages/teaseldock/teaseldock/exchanges.py
@@ -16,13 +16,23 @@
 class Exchange:
     """State of one message from a caller.
 
+    :ivar guarded: whether the request must not run twice.
     :ivar answer: datagram sent to the caller; None while there is none.
     :ivar gone: whether an answer was sent and its text was given up.
     """
 
-    __slots__ = ('flow', 'request', 'began_at', 'answer', 'gone')
-
-    def __init__(self, flow: bytes, request: bytes, began_at: float) -> None:
+    __slots__ = (
+        'flow',
+        'request',
+        'began_at',
+        'guarded',
+        'answer',
+        'gone',
+    )
+
+    def __init__(
+        self, flow: bytes, request: bytes, began_at: float, *, guarded: bool
+    ) -> None:
         """Begin an exchange.
 
         :param request: the caller's datagram.
@@ -30,6 +40,7 @@
         self.flow = flow
         self.request = request
         self.began_at = began_at
+        self.guarded = guarded
         self.answer: bytes | None = None
         self.gone = False
 
--- a/packages/teaseldock/teaseldock/placement.py
+++ b/packages/teaseldock/teaseldock/placement.py
@@ -9,8 +9,10 @@
 
 #: Peers compared for one choice; bounds the work in large services.
 CANDIDATES = 8
-#: Seconds after which a report says nothing any more.
-REPORT_LIFETIME_S = 3.0
+#: Seconds after which a report says nothing any more. Reports come at least
+#: twice in this time; a peer that misses them may be dead, and a request that
+#: must not run twice would end there as "outcome unknown".
+REPORT_LIFETIME_S = 0.8
 #: A flow leaves its bucket's owner only for one this much less loaded.
 FLOW_MARGIN = 2
 
--- a/packages/teaseldock/teaseldock/view.py
+++ b/packages/teaseldock/teaseldock/view.py
@@ -63,6 +63,11 @@
         """Return the instances that get no new work."""
         return self._excluded
 
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether this process has said that it is about to end."""
+        return self._members.own.leaving
+
     def refresh(self) -> bool:
         """Take over changes of the sources.
 
