Let load reports of all peers travel with requests; a newcomer waits for peers

Cause: reports 0.2 s old at 20 ms a request say little. Change: each hand-on and answer carries the newest report of up to 8 peers in 14 bytes each; heartbeats carry none.

Found by sampling the newcomer each 2 ms: it served replaced rules for 5 ms. Cause: knowing nobody counted as being alone.

--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -54,7 +54,7 @@
         )
         self._targets: dict[int, target.Target] = {}
         self._next_loads_at = now
-        self._last_loads: list[messages.Load] = []
+        self._last_loads: list[messages.ServiceLoad] = []
         self._last_loads_at = now
         self._busy_until = now
 
@@ -82,10 +82,6 @@
                 self._busy_until = now + LINGER_S
         return now >= self._busy_until
 
-    def loads(self, now: float) -> list[messages.Load]:
-        """Return a report for each target."""
-        return [item.holder.load(now) for item in self._targets.values()]
-
     def on_view_changed(self, now: float) -> list[messages.Action]:
         """Build, change and withdraw targets as the rules say."""
         contents = self._view.inventory
@@ -110,20 +106,6 @@
         instance = contents.instances.get(self._shared.name)
         return instance['slots'] if instance else 1
 
-    def on_heard(
-        self, message: messages.Ping | messages.Ack, now: float
-    ) -> None:
-        """Take the load reports of a heartbeat."""
-        self._take_loads(message.sender.name, message.loads, now)
-
-    def _take_loads(
-        self, sender: str, loads: list[messages.Load], now: float
-    ) -> None:
-        for load in loads:
-            item = self._targets.get(load.service_number)
-            if item is not None:
-                item.heard_load(sender, load, now)
-
     def on_packet(
         self, packet: proxy_header.Packet, now: float
     ) -> list[messages.Action]:
@@ -151,7 +133,7 @@
     ) -> list[messages.Action]:
         """Handle a message of another process."""
         if isinstance(message, messages.Loads):
-            self._take_loads(message.sender, message.loads, now)
+            self._take_loads(message, now)
             return []
         number = getattr(message, 'service_number', None)
         if number is None:
@@ -201,17 +183,23 @@
             actions += item.tick(now)
         return actions + self._report_loads(now)
 
+    def _take_loads(self, message: messages.Loads, now: float) -> None:
+        for part in message.services:
+            item = self._targets.get(part.service_number)
+            if item is not None:
+                item.heard_load(message.sender, part.reports, now)
+
     def _report_loads(self, now: float) -> list[messages.Action]:
         if now < self._next_loads_at:
             return []
         self._next_loads_at = now + LOADS_INTERVAL_S
-        loads = self.loads(now)
-        unchanged = loads == self._last_loads
+        parts = [item.own_report(now) for item in self._targets.values()]
+        unchanged = parts == self._last_loads
         if unchanged and now - self._last_loads_at < LOADS_REPEAT_S:
             return []
-        self._last_loads = loads
+        self._last_loads = parts
         self._last_loads_at = now
-        message = messages.Loads(self._shared.name, loads)
+        message = messages.Loads(self._shared.name, parts)
         actions: list[messages.Action] = []
         for name in self._pick_peers():
             actions += self._view.to_peer(name, message)
--- a/packages/teaseldock/teaseldock/balancer.py
+++ b/packages/teaseldock/teaseldock/balancer.py
@@ -33,19 +33,10 @@
         """Return the part that routes packets."""
         return self._router
 
-    def loads(self, now: float) -> list[messages.Load]:
-        """Return no report: a balancer serves nothing itself."""
-        return []
-
     def on_view_changed(self, now: float) -> list[messages.Action]:
         """Do nothing: the router looks at the view's version."""
         return []
 
-    def on_heard(
-        self, message: messages.Ping | messages.Ack, now: float
-    ) -> None:
-        """Pass over the load reports."""
-
     def status(self, now: float) -> dict[str, typing.Any]:
         """Return figures for the status page."""
         return {
--- a/packages/teaseldock/teaseldock/challenge.py
+++ b/packages/teaseldock/teaseldock/challenge.py
@@ -8,7 +8,6 @@
 import typing
 
 from teaseldock import exceptions
-from teaseldock import table
 
 #: Seconds for which an Echo may be used; RFC 7252 EXCHANGE_LIFETIME.
 CHALLENGE_LIFETIME_S = 247.0
@@ -21,7 +20,8 @@
 class Challenge(typing.NamedTuple):
     """What an Echo value says.
 
-    :ivar holder: number of the instance that issued it.
+    :ivar holder: number of the instance that issued it, see
+        :func:`teaseldock.load.instance_number`.
     :ivar incarnation: of that instance's agent; one per start.
     :ivar issued_s: seconds of the issuer's clock, rounded down.
     :ivar nonce: never repeated within one incarnation.
@@ -33,11 +33,6 @@
     nonce: int
 
 
-def holder_number(instance: str) -> int:
-    """Return the 32-bit number that stands for an instance."""
-    return table.service_id(f'instance/{instance}')
-
-
 def _tag(key: bytes, flow_key: bytes, head: bytes) -> bytes:
     return hashlib.blake2b(
         head + flow_key, key=key, digest_size=_TAG_BYTES
--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -11,6 +11,7 @@
 from teaseldock import exceptions
 from teaseldock import exchanges
 from teaseldock import executor
+from teaseldock import load
 from teaseldock import messages
 from teaseldock import placement
 from teaseldock import proxy_header
@@ -93,7 +94,7 @@
         service: table.ServiceTable,
         runner: executor.Executor,
         loads: placement.LoadView,
-        own_load: typing.Callable[[float], messages.Load],
+        own_load: typing.Callable[[float], load.Load],
     ) -> None:
         """Start with no request.
 
@@ -109,7 +110,7 @@
         self._pending: dict[int, Pending] = {}
         self._open_flows: collections.Counter[bytes] = collections.Counter()
         self._weights: dict[tuple[str, str], float] = {}
-        self._number = challenge.holder_number(shared.name)
+        self._number = load.instance_number(shared.name)
         self._retries = RETRY_BURST
 
     @property
@@ -209,7 +210,7 @@
     ) -> list[messages.Action]:
         """Hand a request to the one process that may run it."""
         for name in self._service.weights:
-            if challenge.holder_number(name) != given.holder:
+            if load.instance_number(name) != given.holder:
                 continue
             if name == self._shared.name or self._shared.view.is_dead(name):
                 break
@@ -289,11 +290,11 @@
             own = None
         return self._loads.for_request(
             own,
-            own_name,
             lambda name: name not in excluded
             and name not in pending.tried
             and self._shared.view.incarnation(name) != 0,
             now,
+            guarded=not pending.request.idempotent,
         )
 
     def _hand_on(
@@ -303,7 +304,7 @@
         pending.incarnation = self._shared.view.incarnation(name)
         pending.repeat_at = now + REPEAT_S
         self._pending[call] = pending
-        self._loads.sent(name)
+        self._loads.sent(name, now)
         self._shared.counters['handed_on'] += 1
         return self._send_execute(pending, call, now)
 
@@ -323,7 +324,7 @@
             pending.request.idempotent,
             left_ms,
             pending.request.body,
-            self._own_load(now),
+            self._loads.packed(self._own_load(now), now),
         )
         return self._shared.view.to_peer(pending.runner, message)
 
--- a/packages/teaseldock/teaseldock/executor.py
+++ b/packages/teaseldock/teaseldock/executor.py
@@ -9,6 +9,7 @@
 
 import sortedcontainers
 
+from teaseldock import load as loads
 from teaseldock import messages
 
 #: Seconds that a request may wait in the queue before it is refused.
@@ -66,7 +67,6 @@
         self,
         *,
         service: str,
-        number: int,
         slots: int,
         randomness: random.Random,
         now: float,
@@ -76,7 +76,6 @@
         :param slots: requests that the server runs at once.
         """
         self._service = service
-        self._number = number
         self._slots = slots
         self._random = randomness
         self._started_at = now
@@ -106,19 +105,15 @@
         """Take over a changed number of slots."""
         self._slots = slots
 
-    def load(
-        self, now: float, *, flows: int, accepting: bool
-    ) -> messages.Load:
+    def load(self, now: float, *, flows: int, accepting: bool) -> loads.Load:
         """Return the report that travels to peers."""
         self._forget_work(now)
-        return messages.Load(
-            self._number,
+        return loads.Load(
             len(self._running),
             len(self._queue),
             self._usable_slots(now),
             flows,
-            int(self._work_sum * 1000),
-            int(self.expected_wait(1.0, now) * 1000),
+            self._work_sum,
             accepting and self._server_up,
         )
 
--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -11,6 +11,7 @@
 from teaseldock import feeds
 from teaseldock import flow as flows
 from teaseldock import flow_store
+from teaseldock import load as load_reports
 from teaseldock import messages
 from teaseldock import placement
 from teaseldock import remote
@@ -49,7 +50,6 @@
         self._uploads: dict[bytes, float] = {}
         self._executor = executor.Executor(
             service=service.name,
-            number=service.number,
             slots=slots,
             randomness=shared.randomness,
             now=now,
@@ -57,6 +57,7 @@
         self._coordinator = coordinator.Coordinator(
             shared, service, self._executor, loads, self.load
         )
+        self._loads = loads
         self._remote = remote.RemoteCalls(shared, service.number)
 
     @property
@@ -104,12 +105,16 @@
         """Say whether this target may get new work."""
         self._accepting = accepting
 
-    def load(self, now: float) -> messages.Load:
+    def load(self, now: float) -> load_reports.Load:
         """Return the load of this target."""
         return self._executor.load(
             now, flows=len(self._flows), accepting=self._accepting
         )
 
+    def reports(self, now: float) -> bytes:
+        """Return this target's load and others, to go with a message."""
+        return self._loads.packed(self.load(now), now)
+
     def may_move(self, flow: bytes, now: float) -> bool:
         """Tell whether nothing of a flow depends on this very server."""
         if self._coordinator.is_open(flow):
@@ -237,7 +242,7 @@
         body = reply.body if reply else b''
         if isinstance(job.origin, remote.RemoteCall):
             answer = self._remote.finish(
-                job.origin, outcome, body, self.load(now)
+                job.origin, outcome, body, self.reports(now)
             )
             return self._shared.view.to_peer(job.origin.sender, answer)
         begins_feed = (
@@ -288,7 +293,7 @@
         self, message: messages.Execute, now: float
     ) -> list[messages.Action]:
         """Handle a request that another agent hands on."""
-        job, answer = self._remote.admit(message, self.load(now), now)
+        job, answer = self._remote.admit(message, self.reports(now), now)
         if answer is not None:
             return self._shared.view.to_peer(message.sender, answer)
         if job is None:
--- a/packages/teaseldock/teaseldock/idl/teaseldock.thrift
+++ b/packages/teaseldock/teaseldock/idl/teaseldock.thrift
@@ -13,17 +13,6 @@
   9: bool leaving
 }
 
-struct Load {
-  1: i64 service_number
-  2: i32 running
-  3: i32 queued
-  4: i32 slots
-  5: i32 flows
-  6: i32 work
-  7: i32 wait_ms
-  8: bool accepting
-}
-
 struct Ping {
   1: i64 sequence
   2: Member sender
@@ -31,7 +20,6 @@
   4: i64 generation
   5: i64 checksum
   6: list<Member> rumours
-  7: list<Load> loads
 }
 
 struct Ack {
@@ -40,7 +28,6 @@
   3: i64 generation
   4: i64 checksum
   5: list<Member> rumours
-  6: list<Load> loads
 }
 
 struct PingRequest {
@@ -55,9 +42,14 @@
   3: string subject
 }
 
+struct ServiceLoad {
+  1: i64 service_number
+  2: binary reports
+}
+
 struct Loads {
   1: string sender
-  2: list<Load> loads
+  2: list<ServiceLoad> services
 }
 
 struct Locate {
@@ -98,7 +90,7 @@
   7: bool idempotent
   8: i32 deadline_ms
   9: binary body
-  10: Load load
+  10: binary reports
 }
 
 struct Executed {
@@ -107,7 +99,7 @@
   3: i64 call
   4: i32 outcome
   5: binary body
-  6: Load load
+  6: binary reports
 }
 
 struct Feed {
--- a/packages/teaseldock/teaseldock/membership.py
+++ b/packages/teaseldock/teaseldock/membership.py
@@ -58,7 +58,6 @@
 
     generation: int
     checksum: int
-    loads: list[messages.Load]
 
 
 class _Entry:
@@ -102,7 +101,9 @@
         self._relayed: dict[int, tuple[int, messages.Member]] = {}
         self._next_probe = now
         self._last_tick = now
-        self._fresh_after = 0.0
+        # Knowing nobody is no proof of being alone: a newcomer that has not
+        # read the list yet would serve rules its peers have replaced.
+        self._fresh_after = now + 2 * PROBE_INTERVAL_S
         self._fresh = False
         self._version = 0
         self._pauses = 0
@@ -218,7 +219,7 @@
         self._last_tick = now
         if gap > PAUSE_S:
             self._on_pause(now)
-        if not self._fresh and self._fresh_after and now > self._fresh_after:
+        if not self._fresh and now > self._fresh_after:
             # Nobody answered: alone after a cut, the old view is the best.
             self._fresh = True
         actions = self._expire_probe(now, heartbeat)
@@ -262,13 +263,10 @@
     ) -> list[messages.ToPeer]:
         subject = self._next_subject()
         if subject is None:
-            self._fresh = True
             return []
         self._sequence += 1
         self._probe = (self._sequence, subject.name, now)
         self._asked_others = False
-        if not self._fresh and not self._fresh_after:
-            self._fresh_after = now + 2 * PROBE_INTERVAL_S
         return [self._ping(self._sequence, subject, heartbeat)]
 
     def _ping(
@@ -281,7 +279,6 @@
             heartbeat.generation,
             heartbeat.checksum,
             self._pick_rumours(subject.name),
-            heartbeat.loads,
         )
         return messages.ToPeer(subject.host, subject.port, ping)
 
@@ -296,7 +293,6 @@
             heartbeat.generation,
             heartbeat.checksum,
             [],
-            heartbeat.loads,
         )
         return messages.ToPeer(address.host, address.port, ping)
 
@@ -435,7 +431,6 @@
             heartbeat.generation,
             heartbeat.checksum,
             rumours,
-            heartbeat.loads,
         )
         return [messages.ToPeer(ping.sender.host, ping.sender.port, ack)]
 
--- a/packages/teaseldock/teaseldock/messages.py
+++ b/packages/teaseldock/teaseldock/messages.py
@@ -52,24 +52,6 @@
     leaving: bool
 
 
-class Load(typing.NamedTuple):
-    """Load of the sender's target of one service.
-
-    :ivar service_number: number of the service.
-    :ivar work: request weight per second over the last second, times 1000.
-    :ivar wait_ms: expected wait of one more request.
-    """
-
-    service_number: int
-    running: int
-    queued: int
-    slots: int
-    flows: int
-    work: int
-    wait_ms: int
-    accepting: bool
-
-
 class Ping(typing.NamedTuple):
     """Heartbeat; ``joining`` asks for every unusual member at once."""
 
@@ -79,7 +61,6 @@
     generation: int
     checksum: int
     rumours: list[Member]
-    loads: list[Load]
 
 
 class Ack(typing.NamedTuple):
@@ -90,7 +71,6 @@
     generation: int
     checksum: int
     rumours: list[Member]
-    loads: list[Load]
 
 
 class PingRequest(typing.NamedTuple):
@@ -109,11 +89,21 @@
     subject: str
 
 
+class ServiceLoad(typing.NamedTuple):
+    """Load of the sender's target of one service.
+
+    :ivar reports: see :mod:`teaseldock.load`.
+    """
+
+    service_number: int
+    reports: bytes
+
+
 class Loads(typing.NamedTuple):
     """Load of the sender's targets, between agents of one service."""
 
     sender: str
-    loads: list[Load]
+    services: list[ServiceLoad]
 
 
 class Locate(typing.NamedTuple):
@@ -163,6 +153,7 @@
     :ivar sender_incarnation: completes the call's identity.
     :ivar receiver_incarnation: the only one that may run it.
     :ivar deadline_ms: time left, or 0 for none.
+    :ivar reports: loads that the sender knows, its own first.
     """
 
     sender: str
@@ -174,7 +165,7 @@
     idempotent: bool
     deadline_ms: int
     body: bytes
-    load: Load
+    reports: bytes
 
 
 class Executed(typing.NamedTuple):
@@ -185,7 +176,7 @@
     call: int
     outcome: int
     body: bytes
-    load: Load
+    reports: bytes
 
 
 class Feed(typing.NamedTuple):
--- a/packages/teaseldock/teaseldock/node.py
+++ b/packages/teaseldock/teaseldock/node.py
@@ -106,26 +106,14 @@
         names.sort(key=_reader_rank)
         return own.name in names[:READERS_PER_DATA_CENTRE]
 
-    @abc.abstractmethod
-    def loads(self, now: float) -> list[messages.Load]:
-        """Return the load reports that heartbeats carry."""
-
     @abc.abstractmethod
     def on_view_changed(self, now: float) -> list[messages.Action]:
         """Take over a changed view."""
 
-    @abc.abstractmethod
-    def on_heard(
-        self, message: messages.Ping | messages.Ack, now: float
-    ) -> None:
-        """Take what a heartbeat carries besides membership."""
-
-    def heartbeat(self, now: float) -> membership.Heartbeat:
+    def heartbeat(self) -> membership.Heartbeat:
         """Return what this process adds to its heartbeats."""
         digest = self._config.digest
-        return membership.Heartbeat(
-            digest.generation, digest.checksum, self.loads(now)
-        )
+        return membership.Heartbeat(digest.generation, digest.checksum)
 
     def offer(
         self,
@@ -144,7 +132,7 @@
             return []
         self._seed_from_register(now)
         actions: list[messages.Action] = list(
-            self._members.push(self.heartbeat(now), fanout=PUSH_FANOUT)
+            self._members.push(self.heartbeat(), fanout=PUSH_FANOUT)
         )
         return actions + self._refresh(now)
 
@@ -188,10 +176,9 @@
         ):
             return []
         actions: list[messages.Action] = list(
-            self._members.on_message(message, now, self.heartbeat(now))
+            self._members.on_message(message, now, self.heartbeat())
         )
         if isinstance(message, (messages.Ping, messages.Ack)):
-            self.on_heard(message, now)
             actions += self._compare(message, now)
         return actions + self._refresh(now)
 
@@ -212,7 +199,7 @@
     def tick(self, now: float) -> list[messages.Action]:
         """Do what is due; to be called several times a second."""
         actions: list[messages.Action] = list(
-            self._members.tick(now, self.heartbeat(now))
+            self._members.tick(now, self.heartbeat())
         )
         self._note_caught_up()
         names = self._listed | self._config.inventory.instances.keys()
@@ -233,7 +220,7 @@
     ) -> list[messages.Action]:
         """Greet processes of which only the address is known."""
         return [
-            self._members.greet(address, self.heartbeat(now))
+            self._members.greet(address, self.heartbeat())
             for address in addresses
         ]
 
@@ -266,7 +253,7 @@
         """Tell the others that this process is about to stop."""
         self._members.leave()
         actions: list[messages.Action] = list(
-            self._members.push(self.heartbeat(now), fanout=2 * PUSH_FANOUT)
+            self._members.push(self.heartbeat(), fanout=2 * PUSH_FANOUT)
         )
         return actions + self._refresh(now)
 
--- a/packages/teaseldock/teaseldock/owner.py
+++ b/packages/teaseldock/teaseldock/owner.py
@@ -171,7 +171,6 @@
         if name in self._service.weights:
             name = self._loads.for_flow(
                 self._holder.load(now),
-                name,
                 lambda other: other not in excluded,
                 now,
             )
@@ -179,7 +178,7 @@
         if name == self._shared.name:
             self._holder.adopt(packet.flow)
             return self._holder.deliver(packet, now)
-        self._loads.sent(name)
+        self._loads.sent(name, now)
         self._directory.learn(packet.flow, name)
         return self.hand_on(packet, name, proxy_header.Role.PLACED)
 
--- a/packages/teaseldock/teaseldock/placement.py
+++ b/packages/teaseldock/teaseldock/placement.py
@@ -2,81 +2,141 @@
 
 from __future__ import annotations
 
+import bisect
 import random
 import typing
 
-from teaseldock import messages
+from teaseldock import load as loads
 
 #: Peers compared for one choice; bounds the work in large services.
 CANDIDATES = 8
+#: Peers whose reports travel with one message.
+REPORTS_PER_MESSAGE = 8
 #: Seconds after which a report says nothing any more. Reports come at least
 #: twice in this time; a peer that misses them may be dead, and a request that
 #: must not run twice would end there as "outcome unknown".
 REPORT_LIFETIME_S = 0.8
+#: Silence after which no request that must not run twice goes to a peer. Two
+#: peers of a busy service hear each other many times in it.
+GUARDED_SILENCE_S = 0.3
+#: Seconds added to a report's age for its way. More than any way takes: a
+#: report that seemed younger with each relay would go round for ever, and a
+#: dead peer would go on looking idle.
+RELAY_S = 0.005
 #: A flow leaves its bucket's owner only for one this much less loaded.
 FLOW_MARGIN = 2
 
 
-class Peer(typing.NamedTuple):
+class Peer:
     """What is known of one peer's target.
 
-    :ivar sent: requests handed to it since the report.
+    :ivar heard_at: when the peer itself was last heard.
+    :ivar measured_at: when the load was measured, by the reports' ages.
+    :ivar sent: times at which requests were handed to it since then.
     """
 
-    load: messages.Load
-    heard_at: float
-    sent: int
+    __slots__ = ('number', 'load', 'heard_at', 'measured_at', 'sent')
+
+    def __init__(self, number: int) -> None:
+        """Know nothing yet."""
+        self.number = number
+        self.load = loads.Load(0, 0, 1, 0, 0.0, False)
+        self.heard_at = float('-inf')
+        self.measured_at = float('-inf')
+        self.sent: list[float] = []
+
+    def take(self, load: loads.Load, measured_at: float) -> None:
+        """Take a newer load, and forget requests that it includes."""
+        self.load = load
+        self.measured_at = measured_at
+        del self.sent[: bisect.bisect_right(self.sent, measured_at)]
 
 
 class LoadView:
-    """Remember the last report of each peer in one service.
+    """Remember the newest report of each peer in one service.
 
-    Reports travel with every message between agents, so the busier two of
-    them are with each other, the fresher they are. What this agent itself
-    has sent since the report is added on top.
+    Reports travel with every request handed on and every answer to one, and
+    not only the sender's own: the busier a service is, the fresher are its
+    targets' views of each other. What this agent itself has sent since a
+    report was measured is added on top.
     """
 
     def __init__(
-        self, *, weights: dict[str, float], randomness: random.Random
+        self,
+        *,
+        own: str,
+        weights: dict[str, float],
+        randomness: random.Random,
     ) -> None:
         """Start knowing nobody.
 
+        :param own: name of this agent's instance.
         :param weights: paid share of each instance.
         """
-        self._weights = weights
+        self._own = own
+        self._own_number = loads.instance_number(own)
         self._random = randomness
+        self._weights: dict[str, float] = {}
         self._peers: dict[str, Peer] = {}
+        self._by_number: dict[int, Peer] = {}
+        self.set_weights(weights)
 
     def set_weights(self, weights: dict[str, float]) -> None:
         """Take over changed shares and forget instances that left."""
         self._weights = weights
         self._peers = {
-            name: peer for name, peer in self._peers.items() if name in weights
+            name: self._peers.get(name) or Peer(loads.instance_number(name))
+            for name in weights
+            if name != self._own
         }
+        self._by_number = {peer.number: peer for peer in self._peers.values()}
 
-    def heard(self, name: str, load: messages.Load, now: float) -> None:
-        """Take a report."""
-        if name in self._weights:
-            self._peers[name] = Peer(load, now, 0)
+    def heard(self, sender: str, packed: bytes, now: float) -> None:
+        """Take the reports that came with a message.
 
-    def sent(self, name: str) -> None:
+        :param sender: the peer that sent them; it is alive.
+        """
+        peer = self._peers.get(sender)
+        if peer is not None:
+            peer.heard_at = now
+        for report in loads.read_reports(packed):
+            known = self._by_number.get(report.number)
+            measured_at = now - report.age_s - RELAY_S
+            if known is not None and measured_at > known.measured_at:
+                known.take(report.load, measured_at)
+
+    def packed(self, own: loads.Load, now: float) -> bytes:
+        """Return own and the newest other reports, for a message."""
+        parts = [loads.pack_report(self._own_number, 0.0, own)]
+        fresh = [
+            peer
+            for peer in self._peers.values()
+            if now - peer.measured_at < REPORT_LIFETIME_S
+        ]
+        if len(fresh) >= REPORTS_PER_MESSAGE:
+            fresh.sort(key=lambda peer: -peer.measured_at)
+        for peer in fresh[: REPORTS_PER_MESSAGE - 1]:
+            age = max(0.0, now - peer.measured_at)
+            parts.append(loads.pack_report(peer.number, age, peer.load))
+        return b''.join(parts)
+
+    def sent(self, name: str, now: float) -> None:
         """Count a request that was handed to a peer."""
         peer = self._peers.get(name)
         if peer is not None:
-            self._peers[name] = peer._replace(sent=peer.sent + 1)
-
-    def get(self, name: str) -> Peer | None:
-        """Return what is known of a peer."""
-        return self._peers.get(name)
+            peer.sent.append(now)
 
     def _able(
-        self, usable: typing.Callable[[str], bool], now: float
+        self,
+        usable: typing.Callable[[str], bool],
+        now: float,
+        silence_s: float = REPORT_LIFETIME_S,
     ) -> list[tuple[str, Peer]]:
         found = [
             (name, peer)
             for name, peer in self._peers.items()
             if peer.load.accepting
-            and now - peer.heard_at < REPORT_LIFETIME_S
+            and now - peer.heard_at < silence_s
             and usable(name)
         ]
         if len(found) > CANDIDATES:
@@ -85,10 +145,11 @@
 
     def for_request(
         self,
-        own: messages.Load | None,
-        own_name: str,
+        own: loads.Load | None,
         usable: typing.Callable[[str], bool],
         now: float,
+        *,
+        guarded: bool,
     ) -> str | None:
         """Return where a request should run.
 
@@ -98,44 +159,44 @@
 
         :param own: load of this agent's target, None if it can't take any.
         :param usable: tells whether an instance may get new work.
+        :param guarded: whether the request must not run twice.
         :returns: an instance name, or None if nobody is known to take it.
         """
         best = None
         best_score = None
         if own is not None:
-            best = own_name
-            best_score = self._score(own_name, own, 0)
-        for name, peer in self._able(usable, now):
-            score = self._score(name, peer.load, peer.sent)
+            best = self._own
+            best_score = self._score(self._own, own, 0)
+        silence_s = GUARDED_SILENCE_S if guarded else REPORT_LIFETIME_S
+        for name, peer in self._able(usable, now, silence_s):
+            score = self._score(name, peer.load, len(peer.sent))
             if best_score is None or score < best_score:
                 best = name
                 best_score = score
         return best
 
     def _score(
-        self, name: str, load: messages.Load, sent: int
+        self, name: str, load: loads.Load, sent: int
     ) -> tuple[float, float]:
         busy = load.running + load.queued + sent
         # Below its slots a target has no queue: more requests running there
         # cost a caller nothing, and the paid share decides alone.
         waiting = max(0, busy + 1 - load.slots) / load.slots
-        share = (load.work / 1000 + sent) / self._weights[name]
-        return (waiting, share)
+        return (waiting, (load.work + sent) / self._weights[name])
 
     def for_flow(
         self,
-        own: messages.Load,
-        own_name: str,
+        own: loads.Load,
         usable: typing.Callable[[str], bool],
         now: float,
     ) -> str:
         """Return which target should hold a new flow."""
-        best = own_name
-        best_flows = (own.flows - FLOW_MARGIN) / self._weights[own_name]
+        best = self._own
+        best_flows = (own.flows - FLOW_MARGIN) / self._weights[self._own]
         if not own.accepting:
             best_flows = float('inf')
         for name, peer in self._able(usable, now):
-            flows = (peer.load.flows + peer.sent) / self._weights[name]
+            flows = (peer.load.flows + len(peer.sent)) / self._weights[name]
             if flows < best_flows:
                 best = name
                 best_flows = flows
--- a/packages/teaseldock/teaseldock/remote.py
+++ b/packages/teaseldock/teaseldock/remote.py
@@ -45,7 +45,7 @@
         return self._open
 
     def admit(
-        self, message: messages.Execute, load: messages.Load, now: float
+        self, message: messages.Execute, reports: bytes, now: float
     ) -> tuple[executor.Job | None, messages.Executed | None]:
         """Look at a request before it is submitted.
 
@@ -64,7 +64,7 @@
         members = self._shared.view.own_incarnations()
         if message.receiver_incarnation not in members:
             outcome = messages.Outcome.UNKNOWN
-            return None, self._executed(call, outcome, b'', load)
+            return None, self._executed(call, outcome, b'', reports)
         deadline = float('inf')
         if message.deadline_ms:
             deadline = now + message.deadline_ms / 1000
@@ -86,10 +86,10 @@
         call: RemoteCall,
         outcome: messages.Outcome,
         body: bytes,
-        load: messages.Load,
+        reports: bytes,
     ) -> messages.Executed:
         """Note what became of a request and return the answer to send."""
-        answer = self._executed(call, outcome, body, load)
+        answer = self._executed(call, outcome, body, reports)
         if self._known.get(call, answer) is None:
             self._open -= 1
         self._known[call] = answer
@@ -121,8 +121,8 @@
         call: RemoteCall,
         outcome: messages.Outcome,
         body: bytes,
-        load: messages.Load,
+        reports: bytes,
     ) -> messages.Executed:
         return messages.Executed(
-            self._shared.name, self._number, call.call, outcome, body, load
+            self._shared.name, self._number, call.call, outcome, body, reports
         )
--- a/packages/teaseldock/teaseldock/target.py
+++ b/packages/teaseldock/teaseldock/target.py
@@ -7,6 +7,7 @@
 from teaseldock import announcer
 from teaseldock import drain
 from teaseldock import holder
+from teaseldock import load as loads
 from teaseldock import messages
 from teaseldock import owner
 from teaseldock import placement
@@ -40,7 +41,9 @@
         self._service = service
         self._leaving = False
         self._loads = placement.LoadView(
-            weights=service.weights, randomness=shared.randomness
+            own=shared.name,
+            weights=service.weights,
+            randomness=shared.randomness,
         )
         self._holder = holder.Holder(
             shared, service, self._loads, slots=slots, now=now
@@ -75,15 +78,15 @@
 
     def status(self, now: float) -> dict[str, typing.Any]:
         """Return figures for the status page."""
-        load = self._holder.load(now)
+        current = self._holder.load(now)
         return {
             'service': self._service.name,
             'leaving': self._leaving,
-            'flows': load.flows,
+            'flows': current.flows,
             'feeds': len(self._holder.feeds),
-            'running': load.running,
-            'queued': load.queued,
-            'slots': load.slots,
+            'running': current.running,
+            'queued': current.queued,
+            'slots': current.slots,
             'server_up': self._holder.server_up,
             'directory_entries': self._owner.entries,
             'searching': self._owner.searching,
@@ -161,10 +164,10 @@
         """Handle a message of another agent of the service."""
         match message:
             case messages.Execute():
-                self._loads.heard(message.sender, message.load, now)
+                self._loads.heard(message.sender, message.reports, now)
                 return self._holder.on_execute(message, now)
             case messages.Executed():
-                self._loads.heard(message.sender, message.load, now)
+                self._loads.heard(message.sender, message.reports, now)
                 return self._holder.coordinator.on_executed(message, now)
             case messages.Locate():
                 return self._on_locate(message)
@@ -181,9 +184,18 @@
         self._shared.counters['messages_unexpected'] += 1
         return []
 
-    def heard_load(self, sender: str, load: messages.Load, now: float) -> None:
+    def heard_load(self, sender: str, reports: bytes, now: float) -> None:
         """Take a peer's report."""
-        self._loads.heard(sender, load, now)
+        self._loads.heard(sender, reports, now)
+
+    def own_report(self, now: float) -> messages.ServiceLoad:
+        """Return this target's report for its peers."""
+        packed = loads.pack_report(
+            loads.instance_number(self._shared.name),
+            0.0,
+            self._holder.load(now),
+        )
+        return messages.ServiceLoad(self._service.number, packed)
 
     def _on_locate(self, message: messages.Locate) -> list[messages.Action]:
         answer = messages.Located(
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -62,8 +62,8 @@
     small.start_balancer('balancer-9')
     node = small.processes['balancer-9'].node
     served_old = []
-    for _ in range(100):
-        small.run_until(small.now + 0.05)
+    for _ in range(2000):
+        small.run_until(small.now + 0.002)
         if node.ready and node.config.generation != revision:
             served_old.append(small.now)
     assert node.ready
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,19 +15,18 @@
 MEMBER = membership.new_member(
     'a-1', role='agent', data_centre='north', host='10.0.0.1', port=1
 )
-LOAD = messages.Load(1, 2, 3, 4, 5, 6, 7, True)
 SAMPLES = [
-    messages.Ping(1, MEMBER, True, 2, 3, [MEMBER], [LOAD]),
-    messages.Ack(1, MEMBER, 2, 3, [], []),
+    messages.Ping(1, MEMBER, True, 2, 3, [MEMBER]),
+    messages.Ack(1, MEMBER, 2, 3, []),
     messages.PingRequest(1, MEMBER, 'b'),
     messages.Vouch(1, MEMBER, 'b'),
-    messages.Loads('a', [LOAD]),
+    messages.Loads('a', [messages.ServiceLoad(1, b'r')]),
     messages.Locate('a', 1, b'flow'),
     messages.Located('a', 1, b'flow', False),
     messages.Announce('a', 1, 2, [b'x', b'y'], b'bits'),
     messages.Announced('a', 1, 2, [b'\xff']),
-    messages.Execute('a', 1, 2, 3, 4, 2.0, False, 0, b'\x00body', LOAD),
-    messages.Executed('a', 1, 2, messages.Outcome.UNKNOWN, b'', LOAD),
+    messages.Execute('a', 1, 2, 3, 4, 2.0, False, 0, b'\x00body', b'r'),
+    messages.Executed('a', 1, 2, messages.Outcome.UNKNOWN, b'', b'r'),
     messages.Transfer(
         'a',
         1,
