--- a/packages/teaseldock/teaseldock/codecs/coap.py
+++ b/packages/teaseldock/teaseldock/codecs/coap.py
@@ -35,13 +35,6 @@
         raise _unreadable(repr(error)) from error
 
 
-def _to_send(payload: bytes) -> aiocoap.Message:
-    """Return a received message as one that may be encoded again."""
-    message = _decode(payload)
-    message.direction = aiocoap.message.Direction.OUTGOING
-    return message
-
-
 def _unreadable(problem: str) -> exceptions.MessageError:
     return exceptions.MessageError(
         'CoAP', problem, remedy='send a message as in RFC 7252'
@@ -71,11 +64,34 @@
 
 
 class CoapCodec(base.Codec):
-    """Read and write CoAP messages."""
+    """Read and write CoAP messages.
+
+    The message read last is kept for the call that usually follows and writes
+    it in another form; decoding it again would cost a quarter of a request.
+    """
+
+    def __init__(self) -> None:
+        """Keep nothing yet."""
+        self._last: tuple[bytes, aiocoap.Message] | None = None
+
+    def _read(self, payload: bytes) -> aiocoap.Message:
+        message = _decode(payload)
+        self._last = (payload, message)
+        return message
+
+    def _to_send(self, payload: bytes) -> aiocoap.Message:
+        """Return a received message as one that may be changed and sent."""
+        last, self._last = self._last, None
+        if last is not None and last[0] is payload:
+            message = last[1]
+        else:
+            message = _decode(payload)
+        message.direction = aiocoap.message.Direction.OUTGOING
+        return message
 
     def read_caller(self, payload: bytes) -> base.Request | base.Control:
         """Read a request, an acknowledgement or a reset."""
-        message = _decode(payload)
+        message = self._read(payload)
         if message.mtype in (aiocoap.ACK, aiocoap.RST):
             return base.Control(message.mid, message.mtype == aiocoap.RST)
         if not message.code.is_request():
@@ -107,7 +123,7 @@
         5.00 or as an answer to the wrong scan; a Request-Tag of the flow
         keeps them apart (RFC 9175 section 3).
         """
-        message = _to_send(body)
+        message = self._to_send(body)
         message.opt.echo = None
         if message.opt.block1 is not None:
             tags = b''.join(message.opt.request_tag or ())
@@ -116,7 +132,7 @@
 
     def cancel_feed(self, body: bytes, *, call: int) -> bytes:
         """Return the registration again, with Observe 1."""
-        message = _to_send(body)
+        message = self._to_send(body)
         message.opt.observe = 1
         return self._numbered(message, call)
 
@@ -128,7 +144,7 @@
 
     def read_server(self, payload: bytes) -> base.ServerReply:
         """Read an answer or a notification."""
-        message = _decode(payload)
+        message = self._read(payload)
         acknowledge = b''
         if message.mtype == aiocoap.CON:
             kind = aiocoap.ACK
@@ -153,7 +169,7 @@
         self, request: base.Request, body: bytes, *, sequence: int | None
     ) -> bytes:
         """Return the server's answer under the caller's token."""
-        message = _to_send(body)
+        message = self._to_send(body)
         message.opt.observe = sequence
         return _reply_to(request, message)
 
@@ -166,7 +182,7 @@
         message_id: int,
     ) -> bytes:
         """Return a notification; the next one makes up for a lost one."""
-        message = _to_send(body)
+        message = self._to_send(body)
         message.opt.observe = sequence
         message.mtype = aiocoap.NON
         message.mid = message_id % _MESSAGE_IDS
--- a/packages/teaseldock/teaseldock/configuration.py
+++ b/packages/teaseldock/teaseldock/configuration.py
@@ -11,6 +11,7 @@
 
 REGISTER_PREFIX = 'register'
 RULES_PREFIX = 'rules'
+_CHECKSUMS = 1 << 56
 
 
 class Document(typing.NamedTuple):
@@ -43,11 +44,11 @@
     return hashlib.blake2b(content, digest_size=8).digest()
 
 
-def _checksum(documents: typing.Iterable[Document]) -> int:
-    digest = hashlib.blake2b(digest_size=7)
-    for document in sorted(documents):
-        digest.update(f'{document.key} {document.revision} '.encode())
-        digest.update(hashlib.blake2b(document.content).digest())
+def _fingerprint(document: Document) -> int:
+    digest = hashlib.blake2b(
+        f'{document.key} {document.revision} '.encode(), digest_size=7
+    )
+    digest.update(_short_hash(document.content))
     return int.from_bytes(digest.digest(), 'big')
 
 
@@ -83,6 +84,7 @@
         self._parsed: dict[tuple[str, int, bytes], typing.Any] = {}
         self._inventory = inventory.EMPTY_INVENTORY
         self._digest = Digest(0, 0)
+        self._checksum = 0
         self._alarms = 0
         self._refused = 0
 
@@ -162,14 +164,27 @@
         if not fresh:
             return False
         for document in fresh:
-            self._latest[document.key] = document
+            self._replace(document)
         changed = self._apply(fresh, now)
         self._digest = Digest(
             max(item.revision for item in self._latest.values()),
-            _checksum(self._latest.values()),
+            self._checksum,
         )
         return changed
 
+    def _replace(self, document: Document) -> None:
+        """Hold a document, and keep the checksum of all that are held.
+
+        A sum doesn't depend on the order, and takes the same short time for
+        one part changed out of thousands.
+        """
+        former = self._latest.get(document.key)
+        if former is not None:
+            self._checksum -= _fingerprint(former)
+        self._latest[document.key] = document
+        self._checksum += _fingerprint(document)
+        self._checksum %= _CHECKSUMS
+
     def _is_news(self, document: Document, now: float) -> bool:
         held = self._latest.get(document.key)
         if held is None or document.revision > held.revision:
@@ -203,7 +218,12 @@
             )
         return self._parsed[identity]
 
-    def _join(self, documents: dict[str, Document]) -> inventory.Inventory:
+    def join(self, documents: dict[str, Document]) -> inventory.Inventory:
+        """Return the inventory that documents make, without holding it.
+
+        :raises DocumentError: if a document cannot be read.
+        :raises InventoryError: if the documents do not fit together.
+        """
         registers = []
         rules = []
         for key in sorted(documents):
@@ -212,7 +232,7 @@
                 registers.append(parsed)
             else:
                 rules.append(parsed)
-        return inventory.join(registers, rules)
+        return inventory.join(registers, rules, previous=self._inventory)
 
     def _apply(self, fresh: list[Document], now: float) -> bool:
         """Put the largest valid set of the latest documents into force.
@@ -227,34 +247,39 @@
             for key, document in self._latest.items()
             if self._in_force.get(key) != document
         }
-        if self._try({**self._in_force, **waiting}) is None:
-            self._accept(waiting, now)
+        tried = self._try({**self._in_force, **waiting})
+        if isinstance(tried, inventory.Inventory):
+            self._accept(waiting, tried, now)
             return True
         changed = False
         for document in sorted(waiting.values(), key=lambda d: d.revision):
-            error = self._try({**self._in_force, document.key: document})
-            if error is None:
-                self._accept({document.key: document}, now)
+            tried = self._try({**self._in_force, document.key: document})
+            if isinstance(tried, inventory.Inventory):
+                self._accept({document.key: document}, tried, now)
                 changed = True
             elif document in fresh:
-                self._refuse(document, error, now)
+                self._refuse(document, tried, now)
         return changed
 
     def _try(
         self, documents: dict[str, Document]
-    ) -> exceptions.TeaseldockError | None:
+    ) -> inventory.Inventory | exceptions.TeaseldockError:
         try:
-            self._join(documents)
+            return self.join(documents)
         except exceptions.TeaseldockError as error:
             return error
-        return None
 
-    def _accept(self, documents: dict[str, Document], now: float) -> None:
+    def _accept(
+        self,
+        documents: dict[str, Document],
+        joined: inventory.Inventory,
+        now: float,
+    ) -> None:
         before = self._inventory
         self._in_force.update(documents)
-        self._inventory = self._join(self._in_force)
+        self._inventory = joined
         self._forget_parsed()
-        detail = describe_change(before, self._inventory)
+        detail = describe_change(before, joined)
         for document in documents.values():
             self._trail.add(
                 audit.AuditRecord(
@@ -286,6 +311,8 @@
         )
 
     def _forget_parsed(self) -> None:
+        if len(self._parsed) <= 2 * len(self._latest):
+            return
         held = {
             (item.key, item.revision, item.content)
             for item in self.documents()
@@ -297,15 +324,17 @@
         }
 
 
+def _differs(one: typing.Any, other: typing.Any) -> bool:
+    return one is not other and one != other
+
+
 def _describe_names(kind: str, before: dict, after: dict) -> list[str]:
+    common = after.keys() & before.keys()
     parts = []
     for sign, names in (
         ('+', after.keys() - before.keys()),
         ('-', before.keys() - after.keys()),
-        (
-            '~',
-            {n for n in after.keys() & before.keys() if after[n] != before[n]},
-        ),
+        ('~', {n for n in common if _differs(after[n], before[n])}),
     ):
         if names:
             parts.append(f'{sign}{kind} {",".join(sorted(names)[:8])}')
@@ -333,4 +362,4 @@
     :raises InventoryError: if the documents do not fit together.
     """
     configuration = Configuration(trail=audit.AuditTrail(length=1))
-    return configuration._join({item.key: item for item in documents})
+    return configuration.join({item.key: item for item in documents})
--- a/packages/teaseldock/teaseldock/inventory.py
+++ b/packages/teaseldock/teaseldock/inventory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import ipaddress
 import json
 import typing
@@ -178,10 +177,22 @@
         ) from error
 
 
-def _check_instances(inventory: Inventory) -> None:
-    taken: dict[tuple[str, int], str] = {}
-    for name, instance in inventory.instances.items():
-        place = f'register/instances/{name}'
+def _changed(after: dict, before: dict) -> list[typing.Any]:
+    """Return the entries that are new or were read again.
+
+    Parts that were not published again keep their objects, so identity tells
+    in two milliseconds, for tens of thousands of entries, what must be
+    checked; checking all of them at each change would take most of the
+    processor time that control may use.
+    """
+    return [
+        item for name, item in after.items() if before.get(name) is not item
+    ]
+
+
+def _check_instances(inventory: Inventory, previous: Inventory) -> None:
+    for instance in _changed(inventory.instances, previous.instances):
+        place = f'register/instances/{instance["name"]}'
         _check_address(f'{place}/address', instance['address'])
         if instance['data_centre'] not in inventory.data_centres:
             raise exceptions.InventoryError(
@@ -189,35 +200,51 @@
                 f'{instance["data_centre"]!r} is not in the register',
                 remedy='add the data centre or correct the name',
             )
-        slot = (instance['address'], instance['peer_port'])
-        if slot in taken:
+    _check_shared(
+        'register/instances',
+        inventory.instances,
+        lambda item: (item['address'], item['peer_port']),
+        'shares its address and peer port with',
+        'give each agent a port of its own',
+    )
+
+
+def _check_shared(
+    place: str,
+    entries: dict[str, typing.Any],
+    endpoint_of: typing.Callable[[typing.Any], tuple[str, int]],
+    problem: str,
+    remedy: str,
+) -> None:
+    """Refuse two entries with one endpoint."""
+    taken = {endpoint_of(item): name for name, item in entries.items()}
+    if len(taken) == len(entries):
+        return
+    for name, item in entries.items():
+        other = taken[endpoint_of(item)]
+        if other != name:
             raise exceptions.InventoryError(
-                place,
-                f'shares its address and peer port with {taken[slot]!r}',
-                remedy='give each agent a port of its own',
+                f'{place}/{name}', f'{problem} {other!r}', remedy=remedy
             )
-        taken[slot] = name
 
 
 def _check_targets(inventory: Inventory, service: Service) -> None:
     place = f'rules/services/{service["name"]}/targets'
-    counts = collections.Counter(
-        target['instance'] for target in service['targets']
-    )
-    if not counts:
+    names = [target['instance'] for target in service['targets']]
+    if not names:
         raise exceptions.InventoryError(
             place,
             'the service has no target',
             remedy='add an instance or remove the service',
         )
-    for name, count in counts.items():
+    for name in names:
         if name not in inventory.instances:
             raise exceptions.InventoryError(
                 f'{place}/{name}',
                 'the instance is not in the register',
                 remedy='register it first or correct the name',
             )
-        if count > 1:
+        if names.count(name) > 1:
             raise exceptions.InventoryError(
                 f'{place}/{name}',
                 'the instance stands twice',
@@ -225,19 +252,21 @@
             )
 
 
-def _check_services(inventory: Inventory) -> None:
-    taken: dict[tuple[str, int], str] = {}
-    for name, service in inventory.services.items():
-        place = f'rules/services/{name}'
+def _check_services(inventory: Inventory, previous: Inventory) -> None:
+    for service in _changed(inventory.services, previous.services):
+        place = f'rules/services/{service["name"]}'
         _check_address(f'{place}/address', service['address'])
-        endpoint = (service['address'], service['port'])
-        if endpoint in taken:
-            raise exceptions.InventoryError(
-                place,
-                f'shares its address and port with {taken[endpoint]!r}',
-                remedy='give each service an address of its own',
-            )
-        taken[endpoint] = name
+    _check_shared(
+        'rules/services',
+        inventory.services,
+        lambda item: (item['address'], item['port']),
+        'shares its address and port with',
+        'give each service an address of its own',
+    )
+    to_check = _changed(inventory.services, previous.services)
+    if previous.instances.keys() - inventory.instances.keys():
+        to_check = list(inventory.services.values())
+    for service in to_check:
         _check_targets(inventory, service)
 
 
@@ -252,10 +281,15 @@
 
 
 def join(
-    registers: typing.Iterable[Register], rules: typing.Iterable[Rules]
+    registers: typing.Iterable[Register],
+    rules: typing.Iterable[Rules],
+    *,
+    previous: Inventory = EMPTY_INVENTORY,
 ) -> Inventory:
     """Join the parts of register and rules and check them as a whole.
 
+    :param previous: a checked inventory; entries that are the same objects
+        in it are not checked again on their own.
     :raises InventoryError: with the place and the remedy; nothing of the
         parts may then come into force.
     """
@@ -276,8 +310,8 @@
         ),
         frozenset(name for part in rules for name in part['leaving']),
     )
-    _check_instances(inventory)
-    _check_services(inventory)
+    _check_instances(inventory, previous)
+    _check_services(inventory, previous)
     _check_leaving(inventory)
     return inventory
 
--- a/packages/teaseldock/teaseldock/membership.py
+++ b/packages/teaseldock/teaseldock/membership.py
@@ -94,6 +94,7 @@
         self._random = randomness
         self._entries: dict[str, _Entry] = {}
         self._rumours: dict[str, int] = {}
+        self._suspects: set[str] = set()
         self._round: list[str] = []
         self._sequence = 0
         self._probe: tuple[int, str, float] | None = None
@@ -254,9 +255,9 @@
         self._fresh_after = now + 2 * PROBE_INTERVAL_S
         self._probe = None
         self._next_probe = now
-        for entry in self._entries.values():
-            if entry.member.health == messages.Health.SUSPECT:
-                entry.changed_at = now
+        for name in self._suspects:
+            if name in self._entries:
+                self._entries[name].changed_at = now
 
     def _begin_probe(
         self, now: float, heartbeat: Heartbeat
@@ -361,8 +362,10 @@
         )
 
     def _expire_suspicions(self, now: float) -> None:
-        for entry in self._entries.values():
-            if entry.member.health != messages.Health.SUSPECT:
+        for name in list(self._suspects):
+            entry = self._entries.get(name)
+            if entry is None or entry.member.health != messages.Health.SUSPECT:
+                self._suspects.discard(name)
                 continue
             if now - entry.changed_at < SUSPICION_S:
                 continue
@@ -376,6 +379,8 @@
         before = entry.member
         entry.member = member
         entry.changed_at = now
+        if member.health == messages.Health.SUSPECT:
+            self._suspects.add(member.name)
         if _precedence(before) == _precedence(member):
             return
         self._spread(member.name)
@@ -481,6 +486,8 @@
         entry = self._entries.get(member.name)
         if entry is None:
             self._entries[member.name] = _Entry(member, now)
+            if member.health == messages.Health.SUSPECT:
+                self._suspects.add(member.name)
             self._version += 1
             self._spread(member.name)
             self._changes.append(member)
--- a/packages/teaseldock/teaseldock/node.py
+++ b/packages/teaseldock/teaseldock/node.py
@@ -11,6 +11,7 @@
 from teaseldock import audit
 from teaseldock import configuration
 from teaseldock import flow
+from teaseldock import inventory
 from teaseldock import membership
 from teaseldock import messages
 from teaseldock import view
@@ -21,6 +22,8 @@
 PUSH_FANOUT = 3
 #: Seconds between two fetches from peers.
 FETCH_INTERVAL_S = 0.2
+#: Seconds between two clean-ups of members that no list names.
+RETAIN_INTERVAL_S = 10.0
 _READER_KEY = b'teaseldock-read1'
 
 
@@ -48,6 +51,7 @@
         )
         self._view = view.View(config=self._config, members=self._members)
         self._next_fetch_at = now
+        self._next_retain_at = now
         self._listed: set[str] = set()
         self._highest_heard = 0
         self._caught_up = False
@@ -127,16 +131,19 @@
         :param wall_s: seconds since 1970, for the audit trail.
         """
         before = self._config.digest
+        known = self._config.inventory.instances
         self._config.offer(documents, wall_s)
         if self._config.digest == before:
             return []
-        self._seed_from_register(now)
+        self._seed_from_register(known, now)
         actions: list[messages.Action] = list(
             self._members.push(self.heartbeat(), fanout=PUSH_FANOUT)
         )
         return actions + self._refresh(now)
 
-    def _seed_from_register(self, now: float) -> None:
+    def _seed_from_register(
+        self, known: dict[str, inventory.Instance], now: float
+    ) -> None:
         instances = self._config.inventory.instances
         self._members.seed(
             [
@@ -148,7 +155,8 @@
                     instance['peer_port'],
                     0,
                 )
-                for instance in instances.values()
+                for name, instance in instances.items()
+                if known.get(name) is not instance
             ],
             now,
         )
@@ -202,8 +210,10 @@
             self._members.tick(now, self.heartbeat())
         )
         self._note_caught_up()
-        names = self._listed | self._config.inventory.instances.keys()
-        self._members.retain(names, now)
+        if now >= self._next_retain_at:
+            self._next_retain_at = now + RETAIN_INTERVAL_S
+            names = self._listed | self._config.inventory.instances.keys()
+            self._members.retain(names, now)
         return actions + self._refresh(now)
 
     def _note_caught_up(self) -> None:
--- a/packages/teaseldock/teaseldock/routing.py
+++ b/packages/teaseldock/teaseldock/routing.py
@@ -9,23 +9,33 @@
 from teaseldock import proxy_header
 
 if typing.TYPE_CHECKING:
+    from teaseldock import table
     from teaseldock import view
 
 
 class Route(typing.NamedTuple):
-    """Where the packets of one bucket go.
+    """Where a packet goes.
 
     :ivar address: host and port of the owner's agent.
     :ivar tlv: what the agent must know, ready to be sent.
     """
 
-    instance: str
     address: tuple[str, int]
     tlv: bytes
 
 
+class _ServiceRoutes(typing.NamedTuple):
+    """What all packets of one service share."""
+
+    service: table.ServiceTable
+    tlv: bytes
+
+
 class Router:
-    """Map a flow to the agent that owns its bucket, and remember the map."""
+    """Map a flow to the agent that owns its bucket.
+
+    State grows with services and instances, never with flows or buckets.
+    """
 
     def __init__(self, *, current: view.View, hash_key: bytes) -> None:
         """Start with no route computed.
@@ -36,7 +46,8 @@
         self._view = current
         self._hash_key = hash_key
         self._version = -1
-        self._routes: dict[bytes, dict[int, Route]] = {}
+        self._services: dict[bytes, _ServiceRoutes] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
         self._dropped: collections.Counter[str] = collections.Counter()
 
     @property
@@ -47,27 +58,26 @@
     def route(self, flow_key: bytes) -> Route | None:
         """Return the route of a packet, or None if it must be dropped."""
         if self._version != self._view.version:
-            self._routes.clear()
+            self._services.clear()
+            self._addresses.clear()
             self._version = self._view.version
-        endpoint = flow.service_of(flow_key)
-        bucket = flow.bucket_of(flow_key, key=self._hash_key)
-        known = self._routes.get(endpoint)
-        if known is not None:
-            found = known.get(bucket)
-            if found is not None:
-                return found
-        return self._compute(endpoint, bucket)
-
-    def _compute(self, endpoint: bytes, bucket: int) -> Route | None:
-        service = self._view.table.at(endpoint)
-        if service is None:
+        endpoint = flow_key[4:8] + flow_key[10:12]
+        known = self._services.get(endpoint) or self._learn(endpoint)
+        if known is None:
             self._dropped['unknown_service'] += 1
             return None
-        name = self._view.owner(service, bucket)
-        address = self._view.endpoint(name) if name else None
-        if name is None or address is None:
+        bucket = flow.bucket_of(flow_key, key=self._hash_key)
+        name = self._view.owner(known.service, bucket)
+        address = self._addresses.get(name) or self._find(name)
+        if address is None:
             self._dropped['no_target'] += 1
             return None
+        return Route(address, known.tlv)
+
+    def _learn(self, endpoint: bytes) -> _ServiceRoutes | None:
+        service = self._view.table.at(endpoint)
+        if service is None:
+            return None
         packet = proxy_header.Packet(
             b'',
             service.number,
@@ -76,8 +86,14 @@
             0,
             b'',
         )
-        found = Route(
-            name, tuple(address), proxy_header.internal_prefix(packet)
-        )
-        self._routes.setdefault(endpoint, {})[bucket] = found
-        return found
+        routes = _ServiceRoutes(service, proxy_header.internal_prefix(packet))
+        self._services[endpoint] = routes
+        return routes
+
+    def _find(self, name: str | None) -> tuple[str, int] | None:
+        endpoint = self._view.endpoint(name) if name else None
+        if endpoint is None:
+            return None
+        address = tuple(endpoint)
+        self._addresses[name] = address
+        return address
--- a/packages/teaseldock/teaseldock/table.py
+++ b/packages/teaseldock/teaseldock/table.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import array
 import math
 import typing
 
 import siphash24
 
+from teaseldock import flow
 from teaseldock import inventory
 
 #: Key of the ranking hash; it need not be secret, all must use the same.
 _RANK_KEY = b'teaseldock-rank1'
 _HASH_RANGE = float(1 << 64)
+#: Marks of a bucket that was not asked for, and of a service without targets.
+_UNKNOWN = 0xFFFF
+_NOBODY = 0xFFFE
 
 
 class TargetId(typing.NamedTuple):
@@ -27,31 +32,25 @@
     return int.from_bytes(digest[:4], 'big')
 
 
-def _score(prefix: bytes, bucket: int, weight: float) -> float:
-    """Return the rendezvous score, after Thaler and Ravishankar (1998).
-
-    With the logarithm a target wins a bucket with a chance that is exactly
-    proportional to its weight, and changing one weight moves buckets only
-    from or to that target.
-    """
-    digest = siphash24.siphash24(
-        prefix + bytes((bucket,)), key=_RANK_KEY
-    ).digest()
-    unit = (int.from_bytes(digest, 'big') + 1) / (_HASH_RANGE + 1)
-    return -weight / math.log(unit) if unit < 1 else math.inf
-
-
 class ServiceTable:
     """Rank the targets of one service, bucket by bucket, on first use.
 
-    Ranks are computed when a bucket is first asked for, so a change of
-    configuration costs a process only what it then routes.
+    The owner of a bucket is computed when it is first asked for and kept in
+    two bytes, so that a table of tens of thousands of services fits beside
+    everything else, and a change costs a process only what it then routes.
     """
 
-    __slots__ = ('_name', '_number', '_weights', '_prefixes', '_ranks')
+    __slots__ = (
+        '_name',
+        '_number',
+        '_names',
+        '_weights',
+        '_owners',
+        '_excluded',
+    )
 
     def __init__(self, service: inventory.Service) -> None:
-        """Prepare an empty cache of ranks.
+        """Compute nothing yet.
 
         :param service: one checked entry of the rules.
         """
@@ -61,10 +60,9 @@
             target['instance']: target['weight']
             for target in service['targets']
         }
-        self._prefixes = {
-            name: f'{self._name}/{name}/'.encode() for name in self._weights
-        }
-        self._ranks: dict[int, tuple[str, ...]] = {}
+        self._names = tuple(self._weights)
+        self._owners: array.array | None = None
+        self._excluded: frozenset[str] = frozenset()
 
     @property
     def name(self) -> str:
@@ -83,11 +81,9 @@
 
     def rank(self, bucket: int) -> tuple[str, ...]:
         """Return all instances of the service, best first."""
-        ranked = self._ranks.get(bucket)
-        if ranked is None:
-            ranked = self._compute(bucket)
-            self._ranks[bucket] = ranked
-        return ranked
+        scored = [(self._score(name, bucket), name) for name in self._names]
+        scored.sort(reverse=True)
+        return tuple(name for _, name in scored)
 
     def owner(
         self, bucket: int, excluded: typing.Container[str]
@@ -98,19 +94,47 @@
         nobody is left is more likely wrong than right, and a packet that
         reaches a leaving agent is still handed on or refused, not lost.
         """
-        ranked = self.rank(bucket)
-        for name in ranked:
-            if name not in excluded:
-                return name
-        return ranked[0] if ranked else None
-
-    def _compute(self, bucket: int) -> tuple[str, ...]:
-        scored = [
-            (_score(self._prefixes[name], bucket, weight), name)
-            for name, weight in self._weights.items()
-        ]
-        scored.sort(reverse=True)
-        return tuple(name for _, name in scored)
+        concerned = frozenset(n for n in self._names if n in excluded)
+        return self.owner_among(bucket, concerned)
+
+    def owner_among(self, bucket: int, excluded: frozenset[str]) -> str | None:
+        """Return the owner, given the excluded targets of this service.
+
+        :param excluded: a subset of this service's instances; the caller
+            keeps it, so that no packet pays for finding it.
+        """
+        if self._owners is None or excluded != self._excluded:
+            self._owners = array.array('H', [_UNKNOWN]) * flow.BUCKET_COUNT
+            self._excluded = excluded
+        index = self._owners[bucket]
+        if index == _UNKNOWN:
+            index = self._compute(bucket)
+            self._owners[bucket] = index
+        return self._names[index] if index != _NOBODY else None
+
+    def _compute(self, bucket: int) -> int:
+        able = [n for n in self._names if n not in self._excluded]
+        candidates = able or self._names
+        if not candidates:
+            return _NOBODY
+        best = max(
+            candidates, key=lambda name: (self._score(name, bucket), name)
+        )
+        return self._names.index(best)
+
+    def _score(self, name: str, bucket: int) -> float:
+        """Return the rendezvous score, after Thaler and Ravishankar (1998).
+
+        With the logarithm a target wins a bucket with a chance that is
+        exactly proportional to its weight, and changing one weight moves
+        buckets only from or to that target.
+        """
+        text = f'{self._name}/{name}/'.encode() + bytes((bucket,))
+        digest = siphash24.siphash24(text, key=_RANK_KEY).digest()
+        unit = (int.from_bytes(digest, 'big') + 1) / (_HASH_RANGE + 1)
+        if unit >= 1:
+            return math.inf
+        return -self._weights[name] / math.log(unit)
 
 
 class Table:
@@ -127,27 +151,49 @@
 
         :param previous: the table that this one replaces.
         """
+        self._sources: dict[str, inventory.Service] = contents.services
         self._services: dict[str, ServiceTable] = {}
         self._by_endpoint: dict[bytes, ServiceTable] = {}
-        self._sources: dict[str, inventory.Service] = contents.services
+        known = {}
+        if previous is not None:
+            self._services = dict(previous._services)
+            self._by_endpoint = dict(previous._by_endpoint)
+            known = previous._sources
+        self._remove(known, contents.services)
         for name, service in contents.services.items():
-            kept = previous.unchanged(service) if previous else None
-            built = kept or ServiceTable(service)
-            self._services[name] = built
-            endpoint = inventory.service_endpoint(service)
-            self._by_endpoint[endpoint.packed()] = built
+            if known.get(name) is not service:
+                self._add(service, known.get(name))
+
+    def _remove(
+        self,
+        known: dict[str, inventory.Service],
+        current: dict[str, inventory.Service],
+    ) -> None:
+        """Take out services and endpoints that are no longer there."""
+        for name, service in known.items():
+            if current.get(name) is service:
+                continue
+            self._by_endpoint.pop(_packed_endpoint(service), None)
+            if name not in current:
+                del self._services[name]
+
+    def _add(
+        self, service: inventory.Service, former: inventory.Service | None
+    ) -> None:
+        name = service['name']
+        if former is None or former['targets'] != service['targets']:
+            self._services[name] = ServiceTable(service)
+        self._by_endpoint[_packed_endpoint(service)] = self._services[name]
 
     @property
     def services(self) -> dict[str, ServiceTable]:
         """Return the service tables by name."""
         return self._services
 
-    def unchanged(self, service: inventory.Service) -> ServiceTable | None:
-        """Return the table of a service whose rules are the same."""
-        if self._sources.get(service['name']) != service:
-            return None
-        return self._services[service['name']]
-
     def at(self, endpoint: bytes) -> ServiceTable | None:
         """Return the service at a packed endpoint, or None."""
         return self._by_endpoint.get(endpoint)
+
+
+def _packed_endpoint(service: inventory.Service) -> bytes:
+    return inventory.service_endpoint(service).packed()
--- a/packages/teaseldock/teaseldock/view.py
+++ b/packages/teaseldock/teaseldock/view.py
@@ -14,6 +14,9 @@
     from teaseldock import membership
 
 
+_NONE: frozenset[str] = frozenset()
+
+
 class View:
     """Answer who owns a bucket, who may get new work, and where they are."""
 
@@ -36,6 +39,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._dead: frozenset[str] = frozenset()
         self._version = 0
+        self._concerned: dict[str, frozenset[str]] = {}
         self.refresh()
 
     @property
@@ -93,6 +97,7 @@
             if name in current.leaving or self._members.is_leaving(name)
         )
         self._version += 1
+        self._concerned.clear()
         return True
 
     def is_dead(self, name: str) -> bool:
@@ -101,7 +106,12 @@
 
     def owner(self, service: table.ServiceTable, bucket: int) -> str | None:
         """Return the instance whose agent decides about a bucket."""
-        return service.owner(bucket, self._excluded)
+        concerned = self._concerned.get(service.name)
+        if concerned is None:
+            # Most services lose nobody: they share the one empty set.
+            concerned = self._excluded.intersection(service.weights) or _NONE
+            self._concerned[service.name] = concerned
+        return service.owner_among(bucket, concerned)
 
     def endpoint(self, name: str) -> flow.Endpoint | None:
         """Return where the agent of an instance listens."""
