Revise an inventory part by part

Cause: one changed part made every process check and compare all entries. Ruled out: JSON reading (7 KB a part), the table of other services. Change: an index of endpoints, slots and uses is copied and corrected by the entries of the changed parts only; describing and tabling find them by identity.

--- a/packages/teaseldock/teaseldock/configuration.py
+++ b/packages/teaseldock/teaseldock/configuration.py
@@ -218,21 +218,33 @@
             )
         return self._parsed[identity]
 
-    def join(self, documents: dict[str, Document]) -> inventory.Inventory:
-        """Return the inventory that documents make, without holding it.
+    def _parts(self, documents: typing.Iterable[Document]) -> inventory.Parts:
+        parts = inventory.Parts([], [])
+        for document in documents:
+            parsed = self._parse(document)
+            if _kind_of(document.key) is inventory.Register:
+                parts.registers.append(parsed)
+            else:
+                parts.rules.append(parsed)
+        return parts
+
+    def revised(
+        self, documents: typing.Iterable[Document]
+    ) -> inventory.Inventory:
+        """Return the inventory that documents would make, if put in force.
 
         :raises DocumentError: if a document cannot be read.
         :raises InventoryError: if the documents do not fit together.
         """
-        registers = []
-        rules = []
-        for key in sorted(documents):
-            parsed = self._parse(documents[key])
-            if _kind_of(key) is inventory.Register:
-                registers.append(parsed)
-            else:
-                rules.append(parsed)
-        return inventory.join(registers, rules, previous=self._inventory)
+        documents = sorted(documents)
+        replaced = [
+            self._in_force[item.key]
+            for item in documents
+            if item.key in self._in_force
+        ]
+        return inventory.revise(
+            self._inventory, self._parts(replaced), self._parts(documents)
+        )
 
     def _apply(self, fresh: list[Document], now: float) -> bool:
         """Put the largest valid set of the latest documents into force.
@@ -247,13 +259,13 @@
             for key, document in self._latest.items()
             if self._in_force.get(key) != document
         }
-        tried = self._try({**self._in_force, **waiting})
+        tried = self._try(waiting.values())
         if isinstance(tried, inventory.Inventory):
             self._accept(waiting, tried, now)
             return True
         changed = False
         for document in sorted(waiting.values(), key=lambda d: d.revision):
-            tried = self._try({**self._in_force, document.key: document})
+            tried = self._try([document])
             if isinstance(tried, inventory.Inventory):
                 self._accept({document.key: document}, tried, now)
                 changed = True
@@ -262,10 +274,10 @@
         return changed
 
     def _try(
-        self, documents: dict[str, Document]
+        self, documents: typing.Iterable[Document]
     ) -> inventory.Inventory | exceptions.TeaseldockError:
         try:
-            return self.join(documents)
+            return self.revised(documents)
         except exceptions.TeaseldockError as error:
             return error
 
@@ -324,18 +336,21 @@
         }
 
 
-def _differs(one: typing.Any, other: typing.Any) -> bool:
-    return one is not other and one != other
-
-
 def _describe_names(kind: str, before: dict, after: dict) -> list[str]:
-    common = after.keys() & before.keys()
+    # Entries of parts that were not published again are the same objects, so
+    # only the few others are compared by their contents.
+    other = [
+        name for name, item in after.items() if before.get(name) is not item
+    ]
+    added = [name for name in other if name not in before]
+    changed = [
+        name
+        for name in other
+        if name in before and before[name] != after[name]
+    ]
+    removed = before.keys() - after.keys()
     parts = []
-    for sign, names in (
-        ('+', after.keys() - before.keys()),
-        ('-', before.keys() - after.keys()),
-        ('~', {n for n in common if _differs(after[n], before[n])}),
-    ):
+    for sign, names in (('+', added), ('-', removed), ('~', changed)):
         if names:
             parts.append(f'{sign}{kind} {",".join(sorted(names)[:8])}')
     return parts
@@ -362,4 +377,4 @@
     :raises InventoryError: if the documents do not fit together.
     """
     configuration = Configuration(trail=audit.AuditTrail(length=1))
-    return configuration.join({item.key: item for item in documents})
+    return configuration.revised(documents)
--- a/packages/teaseldock/teaseldock/inventory.py
+++ b/packages/teaseldock/teaseldock/inventory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import ipaddress
 import json
 import typing
@@ -84,21 +85,52 @@
     leaving: list[Name]
 
 
+class _Index(typing.NamedTuple):
+    """What makes checking one changed part quick.
+
+    :ivar endpoints: service name by address and port.
+    :ivar slots: instance name by address and peer port.
+    :ivar uses: number of services that an instance serves.
+    :ivar leaving: number of parts that call an instance leaving.
+    """
+
+    endpoints: dict[tuple[str, int], str]
+    slots: dict[tuple[str, int], str]
+    uses: collections.Counter[str]
+    leaving: collections.Counter[str]
+
+
 class Inventory(typing.NamedTuple):
     """Register and rules, joined and checked.
 
     :ivar instances: by name.
     :ivar services: by name.
     :ivar leaving: names of instances that get no new work.
+    :ivar index: for :func:`revise` only.
     """
 
     data_centres: dict[str, DataCentre]
     instances: dict[str, Instance]
     services: dict[str, Service]
     leaving: frozenset[str]
+    index: _Index
+
 
+class Parts(typing.NamedTuple):
+    """Parsed parts of a configuration."""
 
-EMPTY_INVENTORY = Inventory({}, {}, {}, frozenset())
+    registers: list[Register]
+    rules: list[Rules]
+
+
+EMPTY_INVENTORY = Inventory(
+    {},
+    {},
+    {},
+    frozenset(),
+    _Index({}, {}, collections.Counter(), collections.Counter()),
+)
+NO_PARTS = Parts([], [])
 
 
 def _refuse_duplicates(pairs: list[tuple[str, object]]) -> dict[str, object]:
@@ -152,20 +184,6 @@
     return msgspec.json.schema(kind)
 
 
-def _unique(place: str, items: typing.Iterable) -> dict[str, typing.Any]:
-    found: dict[str, typing.Any] = {}
-    for item in items:
-        name = item['name']
-        if name in found:
-            raise exceptions.InventoryError(
-                f'{place}/{name}',
-                'the name stands twice',
-                remedy='rename or remove one of the two',
-            )
-        found[name] = item
-    return found
-
-
 def _check_address(place: str, text: str) -> None:
     try:
         ipaddress.IPv4Address(text)
@@ -177,55 +195,21 @@
         ) from error
 
 
-def _changed(after: dict, before: dict) -> list[typing.Any]:
-    """Return the entries that are new or were read again.
-
-    Parts that were not published again keep their objects, so identity tells
-    in two milliseconds, for tens of thousands of entries, what must be
-    checked; checking all of them at each change would take most of the
-    processor time that control may use.
-    """
-    return [
-        item for name, item in after.items() if before.get(name) is not item
-    ]
-
-
-def _check_instances(inventory: Inventory, previous: Inventory) -> None:
-    for instance in _changed(inventory.instances, previous.instances):
-        place = f'register/instances/{instance["name"]}'
-        _check_address(f'{place}/address', instance['address'])
-        if instance['data_centre'] not in inventory.data_centres:
-            raise exceptions.InventoryError(
-                f'{place}/data_centre',
-                f'{instance["data_centre"]!r} is not in the register',
-                remedy='add the data centre or correct the name',
-            )
-    _check_shared(
-        'register/instances',
-        inventory.instances,
-        lambda item: (item['address'], item['peer_port']),
-        'shares its address and peer port with',
-        'give each agent a port of its own',
+def _twice(place: str, remedy: str) -> exceptions.InventoryError:
+    return exceptions.InventoryError(
+        place, 'the name stands twice', remedy=remedy
     )
 
 
-def _check_shared(
-    place: str,
-    entries: dict[str, typing.Any],
-    endpoint_of: typing.Callable[[typing.Any], tuple[str, int]],
-    problem: str,
-    remedy: str,
-) -> None:
-    """Refuse two entries with one endpoint."""
-    taken = {endpoint_of(item): name for name, item in entries.items()}
-    if len(taken) == len(entries):
-        return
-    for name, item in entries.items():
-        other = taken[endpoint_of(item)]
-        if other != name:
-            raise exceptions.InventoryError(
-                f'{place}/{name}', f'{problem} {other!r}', remedy=remedy
-            )
+def _check_instance(inventory: Inventory, instance: Instance) -> None:
+    place = f'register/instances/{instance["name"]}'
+    _check_address(f'{place}/address', instance['address'])
+    if instance['data_centre'] not in inventory.data_centres:
+        raise exceptions.InventoryError(
+            f'{place}/data_centre',
+            f'{instance["data_centre"]!r} is not in the register',
+            remedy='add the data centre or correct the name',
+        )
 
 
 def _check_targets(inventory: Inventory, service: Service) -> None:
@@ -252,68 +236,186 @@
             )
 
 
-def _check_services(inventory: Inventory, previous: Inventory) -> None:
-    for service in _changed(inventory.services, previous.services):
-        place = f'rules/services/{service["name"]}'
-        _check_address(f'{place}/address', service['address'])
-    _check_shared(
-        'rules/services',
-        inventory.services,
-        lambda item: (item['address'], item['port']),
-        'shares its address and port with',
-        'give each service an address of its own',
-    )
-    to_check = _changed(inventory.services, previous.services)
-    if previous.instances.keys() - inventory.instances.keys():
-        to_check = list(inventory.services.values())
-    for service in to_check:
-        _check_targets(inventory, service)
+class _Revision:
+    """Copy an inventory, take parts out and put parts in, then check.
 
+    Only the entries of the parts are looked at: a change of one part among
+    thousands must cost milliseconds, as it happens at every process.
+    """
 
-def _check_leaving(inventory: Inventory) -> None:
-    for name in inventory.leaving:
-        if name not in inventory.instances:
+    def __init__(self, previous: Inventory) -> None:
+        self._previous = previous
+        self._data_centres = dict(previous.data_centres)
+        self._instances = dict(previous.instances)
+        self._services = dict(previous.services)
+        index = previous.index
+        self._index = _Index(
+            dict(index.endpoints),
+            dict(index.slots),
+            index.uses.copy(),
+            index.leaving.copy(),
+        )
+        self._touched_instances: set[str] = set()
+        self._touched_services: set[str] = set()
+
+    def remove(self, parts: Parts) -> None:
+        """Take parts out."""
+        for register in parts.registers:
+            for centre in register['data_centres']:
+                self._data_centres.pop(centre['name'], None)
+            for instance in register['instances']:
+                self._remove_instance(instance)
+        for rules in parts.rules:
+            for service in rules['services']:
+                self._remove_service(service)
+            self._index.leaving.subtract(rules['leaving'])
+
+    def _remove_instance(self, instance: Instance) -> None:
+        self._touched_instances.add(instance['name'])
+        self._instances.pop(instance['name'], None)
+        slot = (instance['address'], instance['peer_port'])
+        self._index.slots.pop(slot, None)
+
+    def _remove_service(self, service: Service) -> None:
+        self._touched_services.add(service['name'])
+        self._services.pop(service['name'], None)
+        endpoint = (service['address'], service['port'])
+        self._index.endpoints.pop(endpoint, None)
+        self._index.uses.subtract(
+            target['instance'] for target in service['targets']
+        )
+
+    def add(self, parts: Parts) -> None:
+        """Put parts in.
+
+        :raises InventoryError: if a name or an endpoint is taken.
+        """
+        for register in parts.registers:
+            for centre in register['data_centres']:
+                self._add_data_centre(centre)
+            for instance in register['instances']:
+                self._add_instance(instance)
+        for rules in parts.rules:
+            for service in rules['services']:
+                self._add_service(service)
+            self._index.leaving.update(rules['leaving'])
+
+    def _add_data_centre(self, centre: DataCentre) -> None:
+        name = centre['name']
+        if name in self._data_centres:
+            raise _twice(f'register/data_centres/{name}', 'keep one')
+        self._data_centres[name] = centre
+
+    def _add_instance(self, instance: Instance) -> None:
+        name = instance['name']
+        place = f'register/instances/{name}'
+        if name in self._instances:
+            raise _twice(place, 'rename or remove one of the two')
+        slot = (instance['address'], instance['peer_port'])
+        if slot in self._index.slots:
             raise exceptions.InventoryError(
-                f'rules/leaving/{name}',
-                'the instance is not in the register',
-                remedy='remove the line or correct the name',
+                place,
+                f'shares its address and peer port with '
+                f'{self._index.slots[slot]!r}',
+                remedy='give each agent a port of its own',
             )
+        self._touched_instances.add(name)
+        self._instances[name] = instance
+        self._index.slots[slot] = name
+
+    def _add_service(self, service: Service) -> None:
+        name = service['name']
+        place = f'rules/services/{name}'
+        if name in self._services:
+            raise _twice(place, 'rename or remove one of the two')
+        endpoint = (service['address'], service['port'])
+        if endpoint in self._index.endpoints:
+            raise exceptions.InventoryError(
+                place,
+                f'shares its address and port with '
+                f'{self._index.endpoints[endpoint]!r}',
+                remedy='give each service an address of its own',
+            )
+        self._touched_services.add(name)
+        self._services[name] = service
+        self._index.endpoints[endpoint] = name
+        self._index.uses.update(
+            target['instance'] for target in service['targets']
+        )
 
+    def finish(self) -> Inventory:
+        """Return the new inventory, checked.
 
-def join(
-    registers: typing.Iterable[Register],
-    rules: typing.Iterable[Rules],
-    *,
-    previous: Inventory = EMPTY_INVENTORY,
-) -> Inventory:
-    """Join the parts of register and rules and check them as a whole.
+        :raises InventoryError: with the place and the remedy.
+        """
+        leaving = frozenset(
+            name for name, count in self._index.leaving.items() if count > 0
+        )
+        inventory = Inventory(
+            self._data_centres,
+            self._instances,
+            self._services,
+            leaving,
+            self._index,
+        )
+        self._check(inventory)
+        return inventory
+
+    def _check(self, inventory: Inventory) -> None:
+        to_check = self._touched_instances
+        if self._previous.data_centres.keys() - inventory.data_centres.keys():
+            to_check = inventory.instances.keys()
+        for name in sorted(to_check):
+            if name in inventory.instances:
+                _check_instance(inventory, inventory.instances[name])
+        for name in sorted(self._touched_services):
+            service = inventory.services.get(name)
+            if service is not None:
+                place = f'rules/services/{name}'
+                _check_address(f'{place}/address', service['address'])
+                _check_targets(inventory, service)
+        self._check_gone(inventory)
+        for name in inventory.leaving:
+            if name not in inventory.instances:
+                raise exceptions.InventoryError(
+                    f'rules/leaving/{name}',
+                    'the instance is not in the register',
+                    remedy='remove the line or correct the name',
+                )
+
+    def _check_gone(self, inventory: Inventory) -> None:
+        """Refuse to remove an instance that a service still names."""
+        for name in sorted(self._touched_instances):
+            if name in inventory.instances or self._index.uses[name] <= 0:
+                continue
+            raise exceptions.InventoryError(
+                f'register/instances/{name}',
+                'it is gone, and the rules still name it as a target',
+                remedy='take it out of the rules first',
+            )
+
+
+def revise(previous: Inventory, removed: Parts, added: Parts) -> Inventory:
+    """Return an inventory in which some parts were replaced.
 
-    :param previous: a checked inventory; entries that are the same objects
-        in it are not checked again on their own.
     :raises InventoryError: with the place and the remedy; nothing of the
         parts may then come into force.
     """
-    registers = list(registers)
-    rules = list(rules)
-    inventory = Inventory(
-        _unique(
-            'register/data_centres',
-            (item for part in registers for item in part['data_centres']),
-        ),
-        _unique(
-            'register/instances',
-            (item for part in registers for item in part['instances']),
-        ),
-        _unique(
-            'rules/services',
-            (item for part in rules for item in part['services']),
-        ),
-        frozenset(name for part in rules for name in part['leaving']),
-    )
-    _check_instances(inventory, previous)
-    _check_services(inventory, previous)
-    _check_leaving(inventory)
-    return inventory
+    revision = _Revision(previous)
+    revision.remove(removed)
+    revision.add(added)
+    return revision.finish()
+
+
+def join(
+    registers: typing.Iterable[Register], rules: typing.Iterable[Rules]
+) -> Inventory:
+    """Join all parts of register and rules and check them as a whole.
+
+    :raises InventoryError: with the place and the remedy.
+    """
+    added = Parts(list(registers), list(rules))
+    return revise(EMPTY_INVENTORY, NO_PARTS, added)
 
 
 def service_endpoint(service: Service) -> flow.Endpoint:
--- a/packages/teaseldock/teaseldock/membership.py
+++ b/packages/teaseldock/teaseldock/membership.py
@@ -147,19 +147,26 @@
         entry = self._entries.get(name)
         return entry.member if entry else None
 
-    def is_dead(self, name: str) -> bool:
-        """Tell whether a member is believed dead."""
-        entry = self._entries.get(name)
-        return (
-            entry is not None and entry.member.health == messages.Health.DEAD
-        )
+    @property
+    def dead(self) -> set[str]:
+        """Return the names of members believed dead."""
+        return {
+            name
+            for name, entry in self._entries.items()
+            if entry.member.health == messages.Health.DEAD
+        }
 
-    def is_leaving(self, name: str) -> bool:
-        """Tell whether a member said, or is listed, that it is leaving."""
-        if name == self._own.name:
-            return self._own.leaving
-        entry = self._entries.get(name)
-        return entry is not None and entry.member.leaving
+    @property
+    def leaving(self) -> set[str]:
+        """Return the names of members that are leaving, oneself included."""
+        names = {
+            name
+            for name, entry in self._entries.items()
+            if entry.member.leaving
+        }
+        if self._own.leaving:
+            names.add(self._own.name)
+        return names
 
     def drain_changes(self) -> list[messages.Member]:
         """Return members whose state changed since the last call."""
--- a/packages/teaseldock/teaseldock/table.py
+++ b/packages/teaseldock/teaseldock/table.py
@@ -159,23 +159,21 @@
             self._services = dict(previous._services)
             self._by_endpoint = dict(previous._by_endpoint)
             known = previous._sources
-        self._remove(known, contents.services)
-        for name, service in contents.services.items():
-            if known.get(name) is not service:
-                self._add(service, known.get(name))
-
-    def _remove(
-        self,
-        known: dict[str, inventory.Service],
-        current: dict[str, inventory.Service],
-    ) -> None:
-        """Take out services and endpoints that are no longer there."""
-        for name, service in known.items():
-            if current.get(name) is service:
-                continue
-            self._by_endpoint.pop(_packed_endpoint(service), None)
-            if name not in current:
-                del self._services[name]
+        current = contents.services
+        changed = [
+            service
+            for name, service in current.items()
+            if known.get(name) is not service
+        ]
+        for name in known.keys() - current.keys():
+            del self._services[name]
+            self._by_endpoint.pop(_packed_endpoint(known[name]), None)
+        for service in changed:
+            former = known.get(service['name'])
+            if former is not None:
+                self._by_endpoint.pop(_packed_endpoint(former), None)
+        for service in changed:
+            self._add(service, known.get(service['name']))
 
     def _add(
         self, service: inventory.Service, former: inventory.Service | None
--- a/packages/teaseldock/teaseldock/view.py
+++ b/packages/teaseldock/teaseldock/view.py
@@ -87,14 +87,10 @@
             self._table = table.Table(current, self._table)
             self._inventory = current
         self._seen_version = self._members.version
-        names = current.instances
-        self._dead = frozenset(
-            name for name in names if self._members.is_dead(name)
-        )
+        names = current.instances.keys()
+        self._dead = frozenset(self._members.dead & names)
         self._excluded = self._dead.union(
-            name
-            for name in names
-            if name in current.leaving or self._members.is_leaving(name)
+            current.leaving, self._members.leaving & names
         )
         self._version += 1
         self._concerned.clear()
