--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,3 @@
+"""Show deployments and how to embed the library."""
+
+from __future__ import annotations
--- /dev/null
+++ b/examples/embed.py
@@ -0,0 +1,80 @@
+"""Drive the decisions of a balancer and two agents without the programs.
+
+An embedder supplies time, randomness and transport, and hands typed messages
+in and actions out. This example sends one request through and prints what the
+balancer and the agent decide.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+
+from teaseldock import agent
+from teaseldock import balancer
+from teaseldock.codecs import coap
+from teaseldock import configuration
+from teaseldock import context
+from teaseldock import flow
+from teaseldock import membership
+from teaseldock import messages
+from teaseldock import proxy_header
+
+FOLDER = pathlib.Path(__file__).parent / 'prairie'
+KEYS = context.Keys((b'seal key 16 byte',), b'flow hash 16 byt')
+#: CoAP: confirmable PUT of "scans" with message id 1 and token "t".
+REQUEST = bytes.fromhex('41030001') + b't' + b'\xb5scans' + b'\xffbody'
+
+
+def main() -> list[messages.Action]:
+    """Return the actions of the agent for one request."""
+    documents = [
+        configuration.Document(
+            key, number, 'me', (FOLDER / f'{key}.json').read_bytes()
+        )
+        for number, key in enumerate(('register', 'rules'), start=1)
+    ]
+    entry = balancer.Balancer(
+        own=membership.new_member(
+            'entry',
+            role='balancer',
+            data_centre='yard-north',
+            host='::',
+            port=1,
+        ),
+        hash_key=KEYS.flow_hash,
+        randomness=random.Random(1),
+        now=0.0,
+    )
+    entry.offer(documents, 0.0, wall_s=0.0)
+    caller = flow.Endpoint('192.0.2.1', 4000)
+    key = flow.flow_key(caller, flow.Endpoint('127.20.0.2', 5683))
+    found = balancer.node.explain(entry.view, key, hash_key=KEYS.flow_hash)
+    print(json.dumps(found))
+    holder = agent.Agent(
+        own=membership.new_member(
+            found['owner'],
+            role='agent',
+            data_centre='yard-north',
+            host='::',
+            port=2,
+        ),
+        codec=coap.CoapCodec(),
+        keys=KEYS,
+        randomness=random.Random(2),
+        now=0.0,
+    )
+    holder.offer(documents, 0.0, wall_s=0.0)
+    number = entry.view.table.services['tickets'].number
+    packet = proxy_header.Packet(
+        key, number, 2, proxy_header.Role.PLACED, 0, REQUEST
+    )
+    actions = holder.on_packet(packet, 1.0)
+    for action in actions:
+        print(type(action).__name__, action)
+    return actions
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/teaseldock-edge/teaseldock_edge/admin.py
+++ b/packages/teaseldock-edge/teaseldock_edge/admin.py
@@ -16,6 +16,32 @@
 Status = typing.Callable[[], dict[str, typing.Any]]
 
 
+#: Numbers in the status of one target.
+TARGET_FIELDS = (
+    'leaving',
+    'flows',
+    'feeds',
+    'running',
+    'queued',
+    'slots',
+    'server_up',
+    'directory_entries',
+    'searching',
+    'announcements_waiting',
+)
+#: Plain numbers of a status that only rise.
+RISING = frozenset(
+    {
+        'documents_refused',
+        'packets_passed',
+        'pauses',
+        'platform_failures',
+        'platform_reads',
+        'revision_alarms',
+    }
+)
+
+
 class StatusCollector:
     """Turn the numbers of a status page into metrics at each scrape."""
 
@@ -25,30 +51,47 @@
         :param program: ``balancer`` or ``agent``, first word of the names.
         """
         self._status = status
-        self._program = program
+        self._prefix = f'teaseldock_{program}'
 
     def collect(self) -> typing.Iterator[core.Metric]:
-        """Yield one gauge or counter for each number."""
-        for name, value in _numbers('', self._status()):
-            metric = f'teaseldock_{self._program}_{name}'
-            yield core.GaugeMetricFamily(metric, name, value=value)
-
-
-def _numbers(
-    prefix: str, value: typing.Any
-) -> typing.Iterator[tuple[str, float]]:
-    if isinstance(value, (int, float)):
-        yield prefix, float(value)
-    elif isinstance(value, dict):
-        for key, item in value.items():
-            name = str(key).replace('-', '_').replace('/', '_')
-            parts = [part for part in (prefix, name) if part]
-            yield from _numbers('_'.join(parts), item)
-    elif isinstance(value, list):
-        for item in value:
-            if isinstance(item, dict) and 'service' in item:
-                service = str(item['service']).replace('-', '_')
-                yield from _numbers(f'{prefix}_{service}', item)
+        """Yield a metric for each number, table of numbers and target."""
+        for key, value in self._status().items():
+            name = f'{self._prefix}_{key}'
+            if isinstance(value, (int, float)):
+                yield _plain(name, key, value)
+            elif key == 'targets':
+                yield from self._of_targets(value)
+            elif isinstance(value, dict) and key != 'members':
+                yield _by_kind(name, key, value)
+
+    def _of_targets(
+        self, targets: list[dict[str, typing.Any]]
+    ) -> typing.Iterator[core.Metric]:
+        for field in TARGET_FIELDS:
+            metric = core.GaugeMetricFamily(
+                f'{self._prefix}_target_{field}',
+                field.replace('_', ' '),
+                labels=['service'],
+            )
+            for target in targets:
+                metric.add_metric([target['service']], target[field])
+            yield metric
+
+
+def _plain(name: str, key: str, value: float) -> core.Metric:
+    text = key.replace('_', ' ')
+    if key in RISING:
+        return core.CounterMetricFamily(name, text, value=value)
+    return core.GaugeMetricFamily(name, text, value=value)
+
+
+def _by_kind(name: str, key: str, values: dict[str, float]) -> core.Metric:
+    metric = core.CounterMetricFamily(
+        name, key.replace('_', ' '), labels=['kind']
+    )
+    for kind, value in values.items():
+        metric.add_metric([kind], value)
+    return metric
 
 
 class _PageHandler(web.RequestHandler):
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Test the library and the programs."""
+
+from __future__ import annotations
--- a/tests/codecs/__init__.py
+++ b/tests/codecs/__init__.py
@@ -0,0 +1,3 @@
+"""Test the codecs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_dependencies.py
@@ -0,0 +1,63 @@
+"""Test that decisions import neither edges nor anything that does I/O."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+
+import pytest
+
+import teaseldock
+
+LIBRARY = pathlib.Path(teaseldock.__file__).parent
+FORBIDDEN = {
+    'asyncio',
+    'logging',
+    'logbook',
+    'os',
+    'select',
+    'selectors',
+    'socket',
+    'subprocess',
+    'teaseldock_agent',
+    'teaseldock_balancer',
+    'teaseldock_edge',
+    'threading',
+    'time',
+    'tornado',
+    'urllib',
+}
+#: Reads its own IDL file at import, and nothing else.
+MAY_READ_FILES = {'wire.py'}
+
+
+def imported(path: pathlib.Path) -> set[str]:
+    """Return the top-level names that a module imports."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names.update(alias.name.split('.')[0] for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module.split('.')[0])
+    return names
+
+
+@pytest.mark.parametrize(
+    'path', sorted(LIBRARY.rglob('*.py')), ids=lambda p: p.name
+)
+def test_library_does_no_io(path: pathlib.Path) -> None:
+    """A module of the library has no socket, loop, clock or process."""
+    found = imported(path) & FORBIDDEN
+    if path.name not in MAY_READ_FILES:
+        found |= imported(path) & {'pathlib'}
+    assert not found
+
+
+def test_decisions_do_not_know_the_protocol() -> None:
+    """Only the codec of CoAP imports the CoAP library."""
+    users = {
+        path.name
+        for path in LIBRARY.rglob('*.py')
+        if 'aiocoap' in imported(path)
+    }
+    assert users == {'coap.py'}
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,35 @@
+"""Test that the examples do what their pages say."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from examples import embed
+from standins import deployment
+from teaseldock import configuration
+from teaseldock import messages
+
+FOLDER = pathlib.Path(embed.__file__).parent
+
+
+def test_embedding_needs_no_program() -> None:
+    """The decisions run on typed messages and a time alone."""
+    (action,) = embed.main()
+    assert isinstance(action, messages.ToServer)
+    assert action.service == 'tickets'
+
+
+@pytest.mark.parametrize('name', ['prairie', 'zilina'])
+def test_deployments_pass_the_check(name: str) -> None:
+    """Both users' documents are accepted as a whole."""
+    documents = [
+        configuration.Document(
+            key, 1, 'x', (FOLDER / name / f'{key}.json').read_bytes()
+        )
+        for key in ('register', 'rules')
+    ]
+    contents = configuration.check_documents(documents)
+    assert len(contents.instances) == 10
+    assert deployment.load_example(name)[1]['leaving'] == []
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""Keep the repository in order; not part of the shipped packages."""
+
+from __future__ import annotations
