Notice a frozen server in 2 s while anybody waits for it

Symptom: feeds broken for longer than their callers wait (4 s), in the new process test. Sequence: the server freezes; its probe took 4 s. Cause: one interval for busy and idle servers. Ruled out: the move itself (feeds moved within a second of the loss). Change: 0.5 s between probes while requests or feeds wait, 2 s otherwise.

--- a/bench/path.py
+++ b/bench/path.py
@@ -164,7 +164,7 @@
         self._sender.sendto(datagram, self._to)
         self.calls.append(call)
 
-    def tick(self, now: float) -> None:
+    def tick(self, now: float, *, busy: bool) -> None:
         """Do nothing."""
 
 
--- a/packages/teaseldock-agent/teaseldock_agent/application.py
+++ b/packages/teaseldock-agent/teaseldock_agent/application.py
@@ -80,8 +80,8 @@
     def on_tick(self, now: float) -> None:
         """Open links to servers that the rules name, and probe them."""
         self._open_links(now)
-        for link in self._links.values():
-            link.tick(now)
+        for service, link in self._links.items():
+            link.tick(now, busy=self._agent.needs_server(service))
 
     def _open_links(self, now: float) -> None:
         contents = self._node.view.inventory
--- a/packages/teaseldock-agent/teaseldock_agent/server_link.py
+++ b/packages/teaseldock-agent/teaseldock_agent/server_link.py
@@ -71,15 +71,18 @@
         index = (call // _IDS_PER_SOCKET) % SOCKETS
         self._sockets[index].send_connected(datagram)
 
-    def tick(self, now: float) -> None:
-        """Probe a silent server with a CoAP ping (RFC 7252 section 4.3)."""
+    def tick(self, now: float, *, busy: bool) -> None:
+        """Probe a silent server with a CoAP ping (RFC 7252 section 4.3).
+
+        :param busy: whether anybody waits for this server.
+        """
         self._now = now
-        step = self._probe.step(now)
+        step = self._probe.step(now, busy=busy)
         if step is server_probe.Step.LOST:
             self._on_lost()
         if step is server_probe.Step.NOTHING:
             return
         ping = aiocoap.Message(code=aiocoap.EMPTY)
         ping.mtype = aiocoap.CON
-        ping.mid = int(now) % _IDS_PER_SOCKET
+        ping.mid = int(now * 1000) % _IDS_PER_SOCKET
         self._sockets[0].send_connected(ping.encode())
--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -170,6 +170,13 @@
             return []
         return item.on_server_reply(reply, now)
 
+    def needs_server(self, service: str) -> bool:
+        """Tell whether requests or feeds wait for the server of a service."""
+        item = self.find(service)
+        if item is None:
+            return False
+        return not item.holder.idle or len(item.holder.feeds) > 0
+
     def server_lost(self, service: str, now: float) -> list[messages.Action]:
         """Note that the server of a service is gone."""
         item = self.find(service)
--- a/packages/teaseldock/teaseldock/server_probe.py
+++ b/packages/teaseldock/teaseldock/server_probe.py
@@ -4,8 +4,10 @@
 
 import enum
 
-#: Seconds between two probes of a silent server.
-PROBE_INTERVAL_S = 1.0
+#: Seconds between two probes of a silent server: while requests run there or
+#: feeds depend on it, and otherwise.
+BUSY_INTERVAL_S = 0.5
+IDLE_INTERVAL_S = 2.0
 #: Probes without any sign of life after which the server is lost.
 PROBES_UNANSWERED = 3
 
@@ -27,19 +29,23 @@
 
     def __init__(self, now: float) -> None:
         """Start believing that the server is well."""
-        self._next_at = now + PROBE_INTERVAL_S
+        self._last_at = now
         self._unanswered = 0
 
     def heard(self, now: float) -> None:
         """Note a datagram of the server."""
         self._unanswered = 0
-        self._next_at = now + PROBE_INTERVAL_S
+        self._last_at = now
 
-    def step(self, now: float) -> Step:
-        """Return what is due."""
-        if now < self._next_at:
+    def step(self, now: float, *, busy: bool) -> Step:
+        """Return what is due.
+
+        :param busy: whether anybody waits for this server.
+        """
+        interval = BUSY_INTERVAL_S if busy else IDLE_INTERVAL_S
+        if now - self._last_at < interval:
             return Step.NOTHING
-        self._next_at = now + PROBE_INTERVAL_S
+        self._last_at = now
         self._unanswered += 1
         if self._unanswered == PROBES_UNANSWERED + 1:
             return Step.LOST
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -178,6 +178,27 @@
     assert verdict['answered_without_run'] == 0
 
 
+def test_a_frozen_server_is_left_alone(dep: deployment.Deployment) -> None:
+    """A server that stops answering, though its health page says well.
+
+    Symptom guarded against: requests queue behind a dead server, or run twice
+    when it wakes. Sequence: the server freezes with requests in its socket,
+    callers are told "outcome unknown", then it wakes and runs them.
+    """
+    callers = traffic(dep, 10.0)
+    time.sleep(1.5)
+    dep.signal('server-dispatch-1', signal.SIGSTOP)
+    time.sleep(7.0)
+    status = dep.statuses()['dispatch-1']
+    assert not status['targets'][0]['server_up']
+    dep.signal('server-dispatch-1', signal.SIGCONT)
+    verdict = finish(dep, callers)
+    assert_safe(verdict)
+    assert verdict['answered'] > 200
+    assert verdict['outcome_unknown'] <= 20
+    assert not [p for p in verdict['problems'] if p['kind'] == 'feed']
+
+
 def test_bad_packets_are_counted_and_unanswered(
     dep: deployment.Deployment,
 ) -> None:
