--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,6 +27,7 @@
 from teaseldock import membership
 from teaseldock import messages
 from teaseldock import proxy_header
+from teaseldock import roster
 from teaseldock import wire
 from teaseldock_balancer import application as balancer_application
 
@@ -171,14 +172,14 @@
 
 def membership_point(count: int) -> dict[str, float]:
     """Run one member among many that all answer."""
-    own = membership.new_member(
+    own = roster.new_member(
         'own', role='agent', data_centre='d', host='h', port=1, incarnation=9
     )
     subject = membership.Membership(
         own=own, randomness=random.Random(1), now=0.0
     )
     others = {
-        f'10.0.{n >> 8}.{n & 255}': membership.new_member(
+        f'10.0.{n >> 8}.{n & 255}': roster.new_member(
             f'instance-{n}',
             role='agent',
             data_centre='d',
--- a/bench/world.py
+++ b/bench/world.py
@@ -18,9 +18,9 @@
 from teaseldock import configuration
 from teaseldock import context
 from teaseldock import flow
-from teaseldock import membership
 from teaseldock import messages
 from teaseldock import proxy_header
+from teaseldock import roster
 from teaseldock import wire
 
 KEYS = context.Keys((b'k' * 16,), b'h' * 16)
@@ -114,7 +114,7 @@
         self.callers: dict[bytes, fakes.FakeCaller] = {}
         self.documents: dict[str, configuration.Document] = {}
         self.published: dict[int, float] = {}
-        self.listed: dict[str, membership.ListedInstance] = {}
+        self.listed: dict[str, roster.ListedInstance] = {}
         self.platform_up = True
         self.list_lag_s = 0.5
         self.parted: dict[str, int] = {}
@@ -243,13 +243,13 @@
         seen = list(self.listed.values())
         self.schedule(self.list_lag_s, self._take_list, seen)
 
-    def _take_list(self, seen: list[membership.ListedInstance]) -> None:
+    def _take_list(self, seen: list[roster.ListedInstance]) -> None:
         if not self.platform_up:
             return
         self._fabric = [
             item.name
             for item in seen
-            if item.role == membership.ROLE_BALANCER and not item.leaving_since
+            if item.role == roster.ROLE_BALANCER and not item.leaving_since
         ]
         for name, process in self.processes.items():
             if process.alive and process.node.is_reader:
@@ -257,7 +257,7 @@
                 self._deliver(name, self._offer_list, name, seen)
 
     def _offer_list(
-        self, name: str, seen: list[membership.ListedInstance]
+        self, name: str, seen: list[roster.ListedInstance]
     ) -> None:
         node = self.processes[name].node
         self._perform(name, node.live_list(seen, self.now))
@@ -267,7 +267,7 @@
     ) -> messages.Member:
         self._starts += 1
         incarnation = int((WALL_START_S + self.now) * 1000) + self._starts
-        return membership.new_member(
+        return roster.new_member(
             name,
             role=role,
             data_centre=centre,
@@ -296,7 +296,7 @@
         """Start, or start again, the agent of an instance."""
         own = self._new_member(
             instance['name'],
-            membership.ROLE_AGENT,
+            roster.ROLE_AGENT,
             instance['data_centre'],
             instance['address'],
         )
@@ -314,7 +314,7 @@
         number = int(name.rsplit('-', 1)[1])
         own = self._new_member(
             name,
-            membership.ROLE_BALANCER,
+            roster.ROLE_BALANCER,
             f'dc-{number % 3}',
             f'10.2.0.{number}',
         )
@@ -335,7 +335,7 @@
     ) -> None:
         self.processes[own.name] = Process(node)
         self._addresses[own.host, own.port] = own.name
-        self.listed[own.name] = membership.ListedInstance(
+        self.listed[own.name] = roster.ListedInstance(
             own.name, own.role, own.data_centre, own.host, own.port, 0
         )
         self.schedule(PLATFORM_S, self._watch, own.name)
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -17,9 +17,9 @@
 from teaseldock import configuration
 from teaseldock import context
 from teaseldock import flow
-from teaseldock import membership
 from teaseldock import messages
 from teaseldock import proxy_header
+from teaseldock import roster
 
 FOLDER = pathlib.Path(__file__).parent / 'prairie'
 KEYS = context.Keys((b'seal key 16 byte',), b'flow hash 16 byt')
@@ -36,7 +36,7 @@
         for number, key in enumerate(('register', 'rules'), start=1)
     ]
     entry = balancer.Balancer(
-        own=membership.new_member(
+        own=roster.new_member(
             'entry',
             role='balancer',
             data_centre='yard-north',
@@ -53,7 +53,7 @@
     found = balancer.node.explain(entry.view, key, hash_key=KEYS.flow_hash)
     print(json.dumps(found))
     holder = agent.Agent(
-        own=membership.new_member(
+        own=roster.new_member(
             found['owner'],
             role='agent',
             data_centre='yard-north',
--- a/packages/teaseldock-agent/teaseldock_agent/application.py
+++ b/packages/teaseldock-agent/teaseldock_agent/application.py
@@ -11,9 +11,9 @@
 from teaseldock import context
 from teaseldock import exceptions
 from teaseldock import flow
-from teaseldock import membership
 from teaseldock import messages
 from teaseldock import proxy_header
+from teaseldock import roster
 from teaseldock_agent import server_link
 from teaseldock_edge import program
 
@@ -30,7 +30,7 @@
         """
         self._codec = coap.CoapCodec()
         self._agent = agent.Agent(
-            own=program.own_member(values, membership.ROLE_AGENT),
+            own=program.own_member(values, roster.ROLE_AGENT),
             codec=self._codec,
             keys=context.Keys(values['seal-keys'], values['hash-key'][0]),
             randomness=random.Random(),
--- a/packages/teaseldock-balancer/teaseldock_balancer/application.py
+++ b/packages/teaseldock-balancer/teaseldock_balancer/application.py
@@ -9,8 +9,8 @@
 
 from teaseldock import balancer
 from teaseldock import exceptions
-from teaseldock import membership
 from teaseldock import proxy_header
+from teaseldock import roster
 from teaseldock_edge import program
 from teaseldock_edge import sockets
 
@@ -26,7 +26,7 @@
         :param values: checked settings, by name.
         """
         self._balancer = balancer.Balancer(
-            own=program.own_member(values, membership.ROLE_BALANCER),
+            own=program.own_member(values, roster.ROLE_BALANCER),
             hash_key=values['hash-key'][0],
             randomness=random.Random(),
             now=time.monotonic(),
--- a/packages/teaseldock-edge/teaseldock_edge/platform_client.py
+++ b/packages/teaseldock-edge/teaseldock_edge/platform_client.py
@@ -11,7 +11,7 @@
 from tornado import httpclient
 
 from teaseldock import configuration
-from teaseldock import membership
+from teaseldock import roster
 
 if typing.TYPE_CHECKING:
     from teaseldock import node
@@ -28,7 +28,7 @@
 MAX_ANSWER_BYTES = 64_000_000
 
 Offer = typing.Callable[[list[configuration.Document]], None]
-List = typing.Callable[[list[membership.ListedInstance]], None]
+List = typing.Callable[[list[roster.ListedInstance]], None]
 
 
 def parse_documents(body: bytes) -> list[configuration.Document]:
@@ -44,10 +44,10 @@
     ]
 
 
-def parse_instances(body: bytes) -> list[membership.ListedInstance]:
+def parse_instances(body: bytes) -> list[roster.ListedInstance]:
     """Read the live list."""
     return [
-        membership.ListedInstance(
+        roster.ListedInstance(
             item['name'],
             item['role'],
             item['data_centre'],
--- a/packages/teaseldock-edge/teaseldock_edge/program.py
+++ b/packages/teaseldock-edge/teaseldock_edge/program.py
@@ -13,10 +13,10 @@
 from teaseldock import configuration
 from teaseldock import exceptions
 from teaseldock import flow
-from teaseldock import membership
 from teaseldock import messages
 from teaseldock import node
 from teaseldock import proxy_header
+from teaseldock import roster
 from teaseldock import wire
 from teaseldock_edge import admin
 from teaseldock_edge import documents_exchange
@@ -190,7 +190,7 @@
         self.perform(self._node.offer(documents, now, wall_s=time.time()))
         self._log_changes()
 
-    def _take_list(self, listed: list[membership.ListedInstance]) -> None:
+    def _take_list(self, listed: list[roster.ListedInstance]) -> None:
         self.perform(self._node.live_list(listed, time.monotonic()))
 
     def perform(self, actions: typing.Iterable[messages.Action]) -> None:
@@ -240,7 +240,7 @@
             'members': {
                 member.name: messages.Health(member.health).name.lower()
                 + (' leaving' if member.leaving else '')
-                for member in self._node.members.members()
+                for member in self._node.members.roster.members()
             },
         }
 
@@ -259,7 +259,7 @@
 def own_member(values: dict[str, typing.Any], role: str) -> messages.Member:
     """Return this process as others shall know it."""
     peer = values['peer']
-    return membership.new_member(
+    return roster.new_member(
         values['name'],
         role=role,
         data_centre=values['data-centre'],
--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -135,7 +135,9 @@
     ) -> list[messages.Action]:
         """Handle a message of another process."""
         if isinstance(message, messages.Loads):
-            self._members.heard_alive(message.sender, message.incarnation, now)
+            self._members.roster.heard_alive(
+                message.sender, message.incarnation, now
+            )
             self._take_loads(message, now)
             return self._refresh(now)
         number = getattr(message, 'service_number', None)
--- a/packages/teaseldock/teaseldock/node.py
+++ b/packages/teaseldock/teaseldock/node.py
@@ -14,6 +14,7 @@
 from teaseldock import inventory
 from teaseldock import membership
 from teaseldock import messages
+from teaseldock import roster
 from teaseldock import view
 
 #: Processes of each data centre that watch the configuration service.
@@ -100,7 +101,7 @@
         own = self._members.own
         names = [
             member.name
-            for member in self._members.members()
+            for member in self._members.roster.members()
             if member.data_centre == own.data_centre
             and member.health != messages.Health.DEAD
             and member.incarnation
@@ -145,11 +146,11 @@
         self, known: dict[str, inventory.Instance], now: float
     ) -> None:
         instances = self._config.inventory.instances
-        self._members.seed(
+        self._members.roster.seed(
             [
-                membership.ListedInstance(
+                roster.ListedInstance(
                     instance['name'],
-                    membership.ROLE_AGENT,
+                    roster.ROLE_AGENT,
                     instance['data_centre'],
                     instance['address'],
                     instance['peer_port'],
@@ -162,11 +163,11 @@
         )
 
     def live_list(
-        self, listed: list[membership.ListedInstance], now: float
+        self, listed: list[roster.ListedInstance], now: float
     ) -> list[messages.Action]:
         """Take the platform's list of live and leaving instances."""
         self._listed = {item.name for item in listed}
-        self._members.seed(listed, now)
+        self._members.roster.seed(listed, now)
         return self._refresh(now)
 
     def on_message(
@@ -213,7 +214,7 @@
         if now >= self._next_retain_at:
             self._next_retain_at = now + RETAIN_INTERVAL_S
             names = self._listed | self._config.inventory.instances.keys()
-            self._members.retain(names, now)
+            self._members.roster.retain(names, now)
         return actions + self._refresh(now)
 
     def _note_caught_up(self) -> None:
@@ -244,7 +245,7 @@
 
         :param wall_s: seconds since 1970.
         """
-        for member in self._members.drain_changes():
+        for member in self._members.roster.drain_changes():
             outcome = messages.Health(member.health).name.lower()
             if member.leaving and member.health == messages.Health.ALIVE:
                 outcome = 'leaving'
@@ -261,7 +262,7 @@
 
     def leave(self, now: float) -> list[messages.Action]:
         """Tell the others that this process is about to stop."""
-        self._members.leave()
+        self._members.roster.leave()
         actions: list[messages.Action] = list(
             self._members.push(self.heartbeat(), fanout=2 * PUSH_FANOUT)
         )
--- a/packages/teaseldock/teaseldock/view.py
+++ b/packages/teaseldock/teaseldock/view.py
@@ -80,17 +80,17 @@
         current = self._config.inventory
         if (
             current is self._inventory
-            and self._members.version == self._seen_version
+            and self._members.roster.version == self._seen_version
         ):
             return False
         if current is not self._inventory:
             self._table = table.Table(current, self._table)
             self._inventory = current
-        self._seen_version = self._members.version
+        self._seen_version = self._members.roster.version
         names = current.instances.keys()
-        self._dead = frozenset(self._members.dead & names)
+        self._dead = frozenset(self._members.roster.dead & names)
         self._excluded = self._dead.union(
-            current.leaving, self._members.leaving & names
+            current.leaving, self._members.roster.leaving & names
         )
         self._version += 1
         self._concerned.clear()
@@ -114,7 +114,7 @@
         instance = self._config.inventory.instances.get(name)
         if instance is not None:
             return inventory.peer_endpoint(instance)
-        member = self._members.get(name)
+        member = self._members.roster.get(name)
         if member is not None:
             return flow.Endpoint(member.host, member.port)
         return None
@@ -133,7 +133,7 @@
 
     def incarnation(self, name: str) -> int:
         """Return the incarnation last heard of, or 0."""
-        member = self._members.get(name)
+        member = self._members.roster.get(name)
         return member.incarnation if member else 0
 
     def own_incarnation(self) -> int:
@@ -142,7 +142,7 @@
 
     def own_incarnations(self) -> set[int]:
         """Return all incarnations this process has used since its start."""
-        return self._members.own_incarnations
+        return self._members.roster.own_incarnations
 
     def to_peer(
         self, name: str, message: typing.NamedTuple
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 def believed(run: world.World, name: str) -> set[int]:
     """Return what living processes believe of a member's health."""
     return {
-        process.node.members.get(name).health
+        process.node.members.roster.get(name).health
         for other, process in run.processes.items()
         if process.alive and other != name
     }
@@ -36,7 +36,7 @@
     woken = small.processes['balancer-1'].node
     assert woken.members.pauses == 1
     alive = messages.Health.ALIVE
-    assert {m.health for m in woken.members.members()} == {alive}
+    assert {m.health for m in woken.members.roster.members()} == {alive}
     small.run_until(small.now + 8.0)
     assert believed(small, 'balancer-1') == {alive}
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,12 +7,12 @@
 import pytest
 
 from teaseldock import exceptions
-from teaseldock import membership
 from teaseldock import messages
+from teaseldock import roster
 from teaseldock import wire
 
 KEYS = (b'n' * 16, b'o' * 16)
-MEMBER = membership.new_member(
+MEMBER = roster.new_member(
     'a-1', role='agent', data_centre='north', host='10.0.0.1', port=1
 )
 SAMPLES = [
