--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -6,15 +6,13 @@
 import math
 import typing
 
-from teaseldock import challenge
 from teaseldock.codecs import base
-from teaseldock import exceptions
 from teaseldock import exchanges
 from teaseldock import executor
+from teaseldock import guard
 from teaseldock import load
 from teaseldock import messages
 from teaseldock import placement
-from teaseldock import proxy_header
 
 if typing.TYPE_CHECKING:
     from teaseldock import context
@@ -80,12 +78,10 @@
 
 
 class Coordinator:
-    """Challenge, place, hand on, repeat and answer requests.
+    """Place, hand on, repeat and answer requests.
 
-    For a request that isn't idempotent, three rules together make it run at
-    most once. It runs only with a challenge that this incarnation issued; a
-    challenge is used for one exchange; and once the request may have reached
-    a server, it is never given to another.
+    Once a guarded request may have reached a server, it is never given to
+    another; :mod:`teaseldock.guard` has the other rules.
     """
 
     def __init__(
@@ -110,7 +106,7 @@
         self._pending: dict[int, Pending] = {}
         self._open_flows: collections.Counter[bytes] = collections.Counter()
         self._weights: dict[tuple[str, str], float] = {}
-        self._number = load.instance_number(shared.name)
+        self._guard = guard.Guard(shared, service, self._exchanges)
         self._retries = RETRY_BURST
 
     @property
@@ -134,6 +130,7 @@
     ) -> None:
         """Take over the rules' table and classes of requests."""
         self._service = service
+        self._guard.set_service(service)
         self._weights = {
             (item['method'], item['path'].strip('/')): item['weight']
             for item in classes
@@ -171,64 +168,12 @@
         self, flow: bytes, key: bytes, request: base.Request, now: float
     ) -> list[messages.Action]:
         """Handle a request that must not run twice."""
-        if not request.echo:
-            return self._challenge(flow, request, now)
-        try:
-            given = challenge.read(
-                request.echo, flow, keys=self._shared.keys.seal
-            )
-        except exceptions.ChallengeError:
-            self._shared.counters['challenges_unreadable'] += 1
-            return self._challenge(flow, request, now)
-        own = self._shared.view.own_incarnations()
-        if given.holder != self._number or given.incarnation not in own:
-            return self._to_challenger(flow, request, given)
-        if now - given.issued_s > challenge.CHALLENGE_LIFETIME_S:
-            return self._refuse_unknown(flow, request)
-        if self._exchanges.use(given.nonce, key, now) is not None:
-            # The same challenge under another message: the first may have
-            # run, so neither "not run" nor a second run would be right.
+        ruling = self._guard.rule(flow, key, request, now)
+        if ruling.verdict is guard.Verdict.RUN:
+            return self._begin(flow, key, request, now)
+        if ruling.verdict is guard.Verdict.UNKNOWN:
             return self._refuse_unknown(flow, request)
-        return self._begin(flow, key, request, now)
-
-    def _challenge(
-        self, flow: bytes, request: base.Request, now: float
-    ) -> list[messages.Action]:
-        self._shared.counters['challenges'] += 1
-        issued = challenge.Challenge(
-            self._number,
-            self._shared.view.own_incarnation(),
-            int(now),
-            next(self._shared.calls),
-        )
-        value = challenge.issue(issued, flow, key=self._shared.keys.seal[0])
-        answer = self._shared.codec.challenge(request, value)
-        return [messages.ToCaller(flow, answer)]
-
-    def _to_challenger(
-        self, flow: bytes, request: base.Request, given: challenge.Challenge
-    ) -> list[messages.Action]:
-        """Hand a request to the one process that may run it."""
-        for name in self._service.weights:
-            if load.instance_number(name) != given.holder:
-                continue
-            if name == self._shared.name or self._shared.view.is_dead(name):
-                break
-            heard = self._shared.view.incarnation(name)
-            endpoint = self._shared.view.endpoint(name)
-            if heard not in (0, given.incarnation) or endpoint is None:
-                break
-            self._shared.counters['to_challenger'] += 1
-            packet = proxy_header.Packet(
-                flow,
-                self._service.number,
-                self._shared.view.generation,
-                proxy_header.Role.CHALLENGER,
-                0,
-                request.body,
-            )
-            return [messages.ToAgent(endpoint.host, endpoint.port, packet)]
-        return self._refuse_unknown(flow, request)
+        return ruling.actions
 
     def _begin(
         self, flow: bytes, key: bytes, request: base.Request, now: float
--- /dev/null
+++ b/packages/teaseldock/teaseldock/guard.py
@@ -0,0 +1,142 @@
+"""Let a request that is not idempotent run at most once.
+
+Three rules together: it runs only with a challenge that this incarnation
+issued; a challenge lets one message run; and whoever can't tell says "outcome
+unknown", neither running the request nor calling it not run.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from teaseldock import challenge
+from teaseldock import exceptions
+from teaseldock import load
+from teaseldock import messages
+from teaseldock import proxy_header
+
+if typing.TYPE_CHECKING:
+    from teaseldock.codecs import base
+    from teaseldock import context
+    from teaseldock import exchanges
+    from teaseldock import table
+
+
+class Verdict(enum.Enum):
+    """What to do with a guarded request."""
+
+    #: It may run now, this once.
+    RUN = 'run'
+    #: Carry out the ruling's actions: it is challenged, or handed to the one
+    #: process that may run it.
+    ACT = 'act'
+    #: It may have run; nobody here can tell.
+    UNKNOWN = 'unknown'
+
+
+class Ruling(typing.NamedTuple):
+    """A verdict, and the actions that go with ``ACT``."""
+
+    verdict: Verdict
+    actions: list[messages.Action]
+
+
+_RUN = Ruling(Verdict.RUN, [])
+_UNKNOWN = Ruling(Verdict.UNKNOWN, [])
+
+
+class Guard:
+    """Issue challenges, and judge the requests that answer them."""
+
+    def __init__(
+        self,
+        shared: context.Context,
+        service: table.ServiceTable,
+        known: exchanges.ExchangeTable,
+    ) -> None:
+        """Start with no challenge issued.
+
+        :param known: remembers which challenges were used.
+        """
+        self._shared = shared
+        self._service = service
+        self._exchanges = known
+        self._number = load.instance_number(shared.name)
+
+    def set_service(self, service: table.ServiceTable) -> None:
+        """Take over changed rules."""
+        self._service = service
+
+    def rule(
+        self, flow: bytes, key: bytes, request: base.Request, now: float
+    ) -> Ruling:
+        """Judge a guarded request whose message was not seen before.
+
+        :param key: of its exchange.
+        """
+        if not request.echo:
+            return self._challenge(flow, request, now)
+        try:
+            given = challenge.read(
+                request.echo, flow, keys=self._shared.keys.seal
+            )
+        except exceptions.ChallengeError:
+            self._shared.counters['challenges_unreadable'] += 1
+            return self._challenge(flow, request, now)
+        own = self._shared.view.own_incarnations()
+        if given.holder != self._number or given.incarnation not in own:
+            return self._to_challenger(flow, request, given)
+        if now - given.issued_s > challenge.CHALLENGE_LIFETIME_S:
+            return _UNKNOWN
+        if self._exchanges.use(given.nonce, key, now) is not None:
+            # The same challenge under another message: the first may have
+            # run, so neither "not run" nor a second run would be right.
+            return _UNKNOWN
+        return _RUN
+
+    def _challenge(
+        self, flow: bytes, request: base.Request, now: float
+    ) -> Ruling:
+        self._shared.counters['challenges'] += 1
+        issued = challenge.Challenge(
+            self._number,
+            self._shared.view.own_incarnation(),
+            int(now),
+            next(self._shared.calls),
+        )
+        value = challenge.issue(issued, flow, key=self._shared.keys.seal[0])
+        answer = self._shared.codec.challenge(request, value)
+        return Ruling(Verdict.ACT, [messages.ToCaller(flow, answer)])
+
+    def _to_challenger(
+        self, flow: bytes, request: base.Request, given: challenge.Challenge
+    ) -> Ruling:
+        """Hand a request to the one process that may run it."""
+        name = self._find(given.holder)
+        if name is None or self._shared.view.is_dead(name):
+            return _UNKNOWN
+        heard = self._shared.view.incarnation(name)
+        endpoint = self._shared.view.endpoint(name)
+        if heard not in (0, given.incarnation) or endpoint is None:
+            return _UNKNOWN
+        self._shared.counters['to_challenger'] += 1
+        packet = proxy_header.Packet(
+            flow,
+            self._service.number,
+            self._shared.view.generation,
+            proxy_header.Role.CHALLENGER,
+            0,
+            request.body,
+        )
+        action = messages.ToAgent(endpoint.host, endpoint.port, packet)
+        return Ruling(Verdict.ACT, [action])
+
+    def _find(self, number: int) -> str | None:
+        """Return the other instance of the service that has a number."""
+        for name in self._service.weights:
+            if name == self._shared.name:
+                continue
+            if load.instance_number(name) == number:
+                return name
+        return None
