Read only one data centre's part of the live list, and only when it changed

The list is asked for by data centre and with the last answer's tag; what did not change comes back as 304. Members elsewhere come by rumour.

--- a/packages/teaseldock-edge/teaseldock_edge/platform_client.py
+++ b/packages/teaseldock-edge/teaseldock_edge/platform_client.py
@@ -26,6 +26,10 @@
 IDLE_S = 0.5
 #: Largest answer: every part of register and rules.
 MAX_ANSWER_BYTES = 64_000_000
+#: HTTP status of contents that did not change.
+_UNCHANGED = 304
+#: Stands for the tag of a platform that gives none.
+_NO_ETAG = '"none"'
 
 Offer = typing.Callable[[list[configuration.Document]], None]
 List = typing.Callable[[list[roster.ListedInstance]], None]
@@ -120,18 +124,30 @@
             task.cancel()
         self._client.close()
 
-    async def _get(self, path: str, *, timeout_s: float) -> bytes | None:
+    async def _get(
+        self, path: str, *, timeout_s: float, etag: str = ''
+    ) -> httpclient.HTTPResponse | None:
+        """Read once; None if there is no answer.
+
+        :param etag: of the last answer; unchanged contents are not sent again.
+        """
         self._reads += 1
+        headers = {'If-None-Match': etag} if etag else {}
         try:
             answer = await self._client.fetch(
-                f'{self._url}{path}', request_timeout=timeout_s
+                f'{self._url}{path}',
+                request_timeout=timeout_s,
+                headers=headers,
+                raise_error=False,
             )
+            if answer.code != _UNCHANGED:
+                answer.rethrow()
         except (httpclient.HTTPError, OSError) as error:
             self._failures += 1
             self._note(False, str(error))
             return None
         self._note(True, '')
-        return answer.body
+        return answer
 
     def _note(self, up: bool, problem: str) -> None:
         if up == self._up:
@@ -156,19 +172,27 @@
             wait_s = 0 if first else WATCH_S
             since = self._node.config.digest.generation
             path = f'/v1/documents?since={since}&wait_s={wait_s:g}'
-            body = await self._get(path, timeout_s=wait_s + 3)
-            first = first and body is None
-            if body is None or not self._take(parse_documents, body):
+            answer = await self._get(path, timeout_s=wait_s + 3)
+            first = first and answer is None
+            if answer is None or not self._take(parse_documents, answer.body):
                 await self._pause(RETRY_S)
 
     async def _read_list(self) -> None:
+        """Read the part of the list about this data centre.
+
+        Other data centres' members come by rumour; their lists would grow
+        with the whole fleet.
+        """
         await asyncio.sleep(random.uniform(0, self._start_spread_s))
-        first = True
+        centre = self._node.members.own.data_centre
+        path = f'/v1/instances?data_centre={centre}'
+        etag = ''
         while True:
-            if first or self._node.is_reader:
-                body = await self._get('/v1/instances', timeout_s=3.0)
-                if body is not None and self._take(parse_instances, body):
-                    first = False
+            if not etag or self._node.is_reader:
+                answer = await self._get(path, timeout_s=3.0, etag=etag)
+                if answer is not None and answer.code != _UNCHANGED:
+                    if self._take(parse_instances, answer.body):
+                        etag = answer.headers.get('Etag', _NO_ETAG)
             await self._pause(self._list_interval_s)
 
     def _take(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -137,11 +137,20 @@
     """Answer the live list, and take changes of the deployment tool."""
 
     def get(self) -> None:
-        """Return the lagging list."""
+        """Return the lagging list, or its part about one data centre.
+
+        Tornado adds an Etag and answers 304 to who has it.
+        """
         self.platform.reads += 1
         if self._refuse_if_down():
             return
-        self.write({'instances': self.platform.list_instances()})
+        centre = self.get_argument('data_centre', '')
+        entries = [
+            item
+            for item in self.platform.list_instances()
+            if centre in ('', item['data_centre'])
+        ]
+        self.write({'instances': entries})
 
     def put(self) -> None:
         """Change one entry."""
