Suppress load reports that requests carried; keep searches in the budget

Cause: reports went out each 0.2 s though hand-ons had just carried them, and in a partition each flow's search asked peers that could not answer. Change: a peer is told only if nothing told it lately; a question waits for the budget.

--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -22,7 +22,7 @@
 #: A report is repeated this often even if nothing changed, seconds: while
 #: anything runs at this agent's targets or at their peers', and otherwise.
 LOADS_REPEAT_S = 0.35
-IDLE_REPEAT_S = 0.7
+IDLE_REPEAT_S = 1.0
 #: Seconds for which a leaving agent stays after its last packet of work, for
 #: callers that hold its challenges and for peers that hear of it late.
 LINGER_S = 3.0
@@ -57,7 +57,6 @@
         self._targets: dict[int, target.Target] = {}
         self._next_loads_at = now
         self._last_loads: list[messages.ServiceLoad] = []
-        self._last_loads_at = now
         self._busy_until = now
 
     @property
@@ -202,30 +201,31 @@
                 item.heard_load(message.sender, part.reports, now)
 
     def _report_loads(self, now: float) -> list[messages.Action]:
+        """Tell peers the load, if nothing else told them just now."""
         if now < self._next_loads_at:
             return []
         self._next_loads_at = now + LOADS_INTERVAL_S
         parts = [item.own_report(now) for item in self._targets.values()]
-        unchanged = parts == self._last_loads
-        repeat_s = IDLE_REPEAT_S
+        since_s = IDLE_REPEAT_S
         if any(item.is_active(now) for item in self._targets.values()):
-            repeat_s = LOADS_REPEAT_S
-        if unchanged and now - self._last_loads_at < repeat_s:
-            return []
+            since_s = LOADS_REPEAT_S
+        if parts != self._last_loads:
+            since_s = LOADS_INTERVAL_S
         self._last_loads = parts
-        self._last_loads_at = now
         message = messages.Loads(
             self._shared.name, self._view.own_incarnation(), parts
         )
         actions: list[messages.Action] = []
-        for name in self._pick_peers():
+        for name in self._pick_peers(now, since_s):
+            for item in self._targets.values():
+                item.told(name, now)
             actions += self._view.to_peer(name, message)
         return actions
 
-    def _pick_peers(self) -> list[str]:
+    def _pick_peers(self, now: float, since_s: float) -> list[str]:
         names: set[str] = set()
         for item in self._targets.values():
-            names.update(self._view.peers(item.service))
+            names.update(item.untold(now, since_s))
         ordered = sorted(names)
         if len(ordered) <= LOADS_FANOUT:
             return ordered
--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -269,7 +269,7 @@
             pending.request.idempotent,
             left_ms,
             pending.request.body,
-            self._loads.packed(self._own_load(now), now),
+            self._loads.packed(self._own_load(now), now, to=pending.runner),
         )
         return self._shared.view.to_peer(pending.runner, message)
 
--- a/packages/teaseldock/teaseldock/directory.py
+++ b/packages/teaseldock/teaseldock/directory.py
@@ -38,7 +38,7 @@
         self.bucket = bucket
         self.packets: list[proxy_header.Packet] = []
         self.unanswered = unanswered
-        self.rounds = 1
+        self.rounds = 0
         self.repeat_at = repeat_at
 
 
@@ -169,7 +169,6 @@
         found = []
         for flow, search in self._searches.items():
             if now >= search.repeat_at:
-                search.rounds += 1
                 search.repeat_at = now + SEARCH_REPEAT_S
                 found.append((flow, search))
         return found
--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -111,9 +111,12 @@
             now, flows=len(self._flows), accepting=self._accepting
         )
 
-    def reports(self, now: float) -> bytes:
-        """Return this target's load and others, to go with a message."""
-        return self._loads.packed(self.load(now), now)
+    def reports(self, now: float, *, to: str) -> bytes:
+        """Return this target's load and others, to go with a message.
+
+        :param to: the peer that the message goes to.
+        """
+        return self._loads.packed(self.load(now), now, to=to)
 
     def may_move(self, flow: bytes, now: float) -> bool:
         """Tell whether nothing of a flow depends on this very server."""
@@ -242,7 +245,10 @@
         body = reply.body if reply else b''
         if isinstance(job.origin, remote.RemoteCall):
             answer = self._remote.finish(
-                job.origin, outcome, body, self.reports(now)
+                job.origin,
+                outcome,
+                body,
+                self.reports(now, to=job.origin.sender),
             )
             return self._shared.view.to_peer(job.origin.sender, answer)
         begins_feed = (
@@ -293,7 +299,9 @@
         self, message: messages.Execute, now: float
     ) -> list[messages.Action]:
         """Handle a request that another agent hands on."""
-        job, answer = self._remote.admit(message, self.reports(now), now)
+        job, answer = self._remote.admit(
+            message, self.reports(now, to=message.sender), now
+        )
         if answer is not None:
             return self._shared.view.to_peer(message.sender, answer)
         if job is None:
--- a/packages/teaseldock/teaseldock/owner.py
+++ b/packages/teaseldock/teaseldock/owner.py
@@ -17,6 +17,8 @@
 
 #: Times that agents hand one packet on before it is dropped as looping.
 MAX_HOPS = 4
+#: Bytes of a question and its answer.
+LOCATE_BYTES = 150
 
 
 class Owner:
@@ -114,11 +116,20 @@
         if begun is None:
             return []
         self._shared.counters['searches'] += 1
-        return self._ask(packet.flow, begun)
+        return self._ask(packet.flow, begun, now)
 
     def _ask(
-        self, flow: bytes, search: directory.Search
+        self, flow: bytes, search: directory.Search, now: float
     ) -> list[messages.Action]:
+        """Ask all that have not answered, or later if the budget is spent.
+
+        In a partition nobody answers for seconds, and every flow of the
+        other side comes up for a search.
+        """
+        if not self._shared.budget.has_room(now):
+            return []
+        search.rounds += 1
+        self._shared.budget.spend(LOCATE_BYTES * len(search.unanswered))
         message = messages.Locate(
             self._shared.name, self._service.number, flow
         )
@@ -226,10 +237,10 @@
         for flow, search in self._directory.due(now):
             alive = set(self._shared.view.peers(self._service))
             search.unanswered &= alive
-            if search.rounds > directory.SEARCH_ROUNDS:
+            if search.rounds >= directory.SEARCH_ROUNDS:
                 search.unanswered.clear()
             if search.unanswered:
-                actions += self._ask(flow, search)
+                actions += self._ask(flow, search, now)
             else:
                 actions += self._place_all(flow, now)
         self._directory.expire(now)
--- a/packages/teaseldock/teaseldock/placement.py
+++ b/packages/teaseldock/teaseldock/placement.py
@@ -16,7 +16,7 @@
 #: Seconds after which a report says nothing any more. Reports come at least
 #: twice in this time; a peer that misses them may be dead, and a request that
 #: must not run twice would end there as "outcome unknown".
-REPORT_LIFETIME_S = 0.8
+REPORT_LIFETIME_S = 1.2
 #: Silence after which no request that must not run twice goes to a peer while
 #: it could run here at once. Two peers of a busy service hear each other many
 #: times in it.
@@ -34,10 +34,18 @@
 
     :ivar heard_at: when the peer itself was last heard.
     :ivar measured_at: when the load was measured, by the reports' ages.
+    :ivar told_at: when this agent last sent it reports.
     :ivar sent: times and weights of requests handed to it since then.
     """
 
-    __slots__ = ('number', 'load', 'heard_at', 'measured_at', 'sent')
+    __slots__ = (
+        'number',
+        'load',
+        'heard_at',
+        'measured_at',
+        'sent',
+        'told_at',
+    )
 
     def __init__(self, number: int) -> None:
         """Know nothing yet."""
@@ -46,6 +54,7 @@
         self.heard_at = float('-inf')
         self.measured_at = float('-inf')
         self.sent: list[tuple[float, float]] = []
+        self.told_at = float('-inf')
 
     def take(self, load: loads.Load, measured_at: float) -> None:
         """Take a newer load, and forget requests that it includes."""
@@ -108,8 +117,12 @@
             if known is not None and measured_at > known.measured_at:
                 known.take(report.load, measured_at)
 
-    def packed(self, own: loads.Load, now: float) -> bytes:
-        """Return own and the newest other reports, for a message."""
+    def packed(self, own: loads.Load, now: float, *, to: str) -> bytes:
+        """Return own and the newest other reports, for a message.
+
+        :param to: the peer that the message goes to.
+        """
+        self.told(to, now)
         parts = [loads.pack_report(self._own_number, 0.0, own)]
         fresh = [
             peer
@@ -123,6 +136,20 @@
             parts.append(loads.pack_report(peer.number, age, peer.load))
         return b''.join(parts)
 
+    def told(self, name: str, now: float) -> None:
+        """Note that a peer was sent this agent's load."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.told_at = now
+
+    def untold(self, now: float, since_s: float) -> list[str]:
+        """Return the peers that have had no report for some seconds."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if now - peer.told_at >= since_s
+        ]
+
     def is_active(self, now: float) -> bool:
         """Tell whether a peer that was heard lately has work."""
         return any(
--- a/packages/teaseldock/teaseldock/target.py
+++ b/packages/teaseldock/teaseldock/target.py
@@ -192,6 +192,15 @@
         """Tell whether anything runs here or, as far as known, at a peer."""
         return not self._holder.idle or self._loads.is_active(now)
 
+    def untold(self, now: float, since_s: float) -> list[str]:
+        """Return the living peers that have had no report for some time."""
+        alive = set(self._shared.view.peers(self._service))
+        return [n for n in self._loads.untold(now, since_s) if n in alive]
+
+    def told(self, name: str, now: float) -> None:
+        """Note that a peer was sent a report."""
+        self._loads.told(name, now)
+
     def own_report(self, now: float) -> messages.ServiceLoad:
         """Return this target's report for its peers."""
         packed = loads.pack_report(
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -189,7 +189,7 @@
         False,
         0,
         body,
-        target.holder.reports(run.now),
+        target.holder.reports(run.now, to='x'),
     )
     for _ in range(3):
         run._perform('dispatch-2', node.on_message(execute, run.now))
