Keep a guarded request at home unless a peer has done a tenth less

Cause: with equal queues any small difference in work hands a request on, and for 0.3 s a dead peer can't be told from a quiet one. Ruled out: reports that look fresh (aged by relays), late detection (silence already counts). Change: a guarded request that could run here at once leaves only for a peer with less than 0.9 of the work.

--- a/packages/teaseldock/teaseldock/placement.py
+++ b/packages/teaseldock/teaseldock/placement.py
@@ -21,6 +21,9 @@
 #: it could run here at once. Two peers of a busy service hear each other many
 #: times in it.
 GUARDED_SILENCE_S = 0.3
+#: Share of this target's own work below which a peer's must be to get a
+#: guarded request that could run here at once.
+GUARDED_STAY = 0.9
 #: Seconds added to a report's age for its way. More than any way takes: a
 #: report that seemed younger with each relay would go round for ever, and a
 #: dead peer would go on looking idle.
@@ -208,6 +211,7 @@
         silence_s = REPORT_LIFETIME_S
         if guarded and best_score is not None and best_score[0] == 0:
             silence_s = GUARDED_SILENCE_S
+            best_score = (0.0, best_score[1] * GUARDED_STAY)
         for name, peer in self._able(usable, now, silence_s):
             score = self._score(name, peer.load, peer.sent)
             if best_score is None or score < best_score:
