Answer nobody who has not proved an address; audit older revisions once

Symptom: anyone could register for a feed under a victim's address, and the victim got notifications for hours. Sequence and cause: idempotent requests were answered without a challenge. Ruled out: guarded requests (always challenged). Change: a flow's first request, of any kind, is answered by a challenge alone; a held flow remembers the proof in the value it has anyway. The test failed before by construction (a feed began at once). Price: one round trip for each new flow. The example's test now asks for both steps, as strict as before.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -377,7 +377,7 @@
             return
         if answer.kind == 'challenge':
             state['echo'] = answer.value
-            self._transmit_new(state, None)
+            self._transmit_new(state, 0 if state is self.feed else None)
             return
         outcome = answer.kind
         if outcome == 'answer' and answer.identity != state['identity']:
--- a/bench/path.py
+++ b/bench/path.py
@@ -187,6 +187,7 @@
     service = flow.Endpoint('10.9.0.1', 5683)
     key = flow.flow_key(flow.Endpoint('10.8.0.1', 4000), service)
     item.holder.adopt(key)
+    item.holder.prove(key)
     ratios = []
     pair = _Pair()
     mid = 0
--- a/packages/teaseldock/teaseldock/announcer.py
+++ b/packages/teaseldock/teaseldock/announcer.py
@@ -81,7 +81,7 @@
         for bucket in changed:
             self._queues.setdefault(owners[bucket], collections.deque())
         for flow in self._holder.flows:
-            bucket = self._holder.flows.peek(flow)
+            bucket = self._holder.bucket_of(flow)
             if bucket in changed:
                 self._queues[owners[bucket]].append(flow)
 
@@ -102,7 +102,7 @@
 
     def announce(self, flow: bytes) -> None:
         """Announce one flow to its owner, if that is another agent."""
-        owner = self._owners[self._holder.flows.peek(flow)]
+        owner = self._owners[self._holder.bucket_of(flow)]
         if owner is not None:
             queue = self._queues.setdefault(owner, collections.deque())
             queue.append(flow)
@@ -141,7 +141,7 @@
         chosen: list[bytes] = []
         while queue and len(chosen) < FLOWS_PER_BATCH:
             flow = queue.popleft()
-            bucket = self._holder.flows.peek(flow)
+            bucket = self._holder.bucket_of(flow)
             if bucket is None or self._owners[bucket] != owner:
                 self._taken_over.discard(flow)
                 continue
--- a/packages/teaseldock/teaseldock/configuration.py
+++ b/packages/teaseldock/teaseldock/configuration.py
@@ -85,6 +85,7 @@
         self._inventory = inventory.EMPTY_INVENTORY
         self._digest = Digest(0, 0)
         self._checksum = 0
+        self._older: dict[str, int] = {}
         self._alarms = 0
         self._refused = 0
 
@@ -152,8 +153,8 @@
     def offer(self, documents: list[Document], now: float) -> bool:
         """Take documents from the service or a peer.
 
-        An older revision than the one held is passed over in silence: a
-        stale replica of the service or a slow peer sends these all day. The
+        An older revision than the one held is refused: a stale replica of
+        the service or a slow peer sends these all day. The
         fault to prevent is a process going back to rules that were already
         replaced, which would show as a drained target getting new work.
 
@@ -190,6 +191,7 @@
         if held is None or document.revision > held.revision:
             return True
         if document.revision < held.revision:
+            self._note_older(document, held, now)
             return False
         if document.content == held.content:
             return False
@@ -210,6 +212,20 @@
         )
         return document.content > held.content
 
+    def _note_older(
+        self, document: Document, held: Document, now: float
+    ) -> None:
+        """Audit an older revision, once for each: a stale replica repeats."""
+        if self._older.get(document.key) == document.revision:
+            return
+        self._older[document.key] = document.revision
+        error = exceptions.RevisionError(
+            document.key,
+            f'revision {document.revision} is older than {held.revision}',
+            remedy='to go back, publish the old text again',
+        )
+        self._refuse(document, error, now)
+
     def _parse(self, document: Document) -> typing.Any:
         identity = (document.key, document.revision, document.content)
         if identity not in self._parsed:
--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -114,6 +114,11 @@
         """Return the exchanges seen."""
         return self._exchanges
 
+    @property
+    def guard(self) -> guard.Guard:
+        """Return the part that issues challenges."""
+        return self._guard
+
     @property
     def open(self) -> int:
         """Return how many requests have no final answer yet."""
--- a/packages/teaseldock/teaseldock/drain.py
+++ b/packages/teaseldock/teaseldock/drain.py
@@ -127,7 +127,7 @@
 
     def target_of(self, flow: bytes, now: float) -> str | None:
         """Return the instance that a flow would move to, or None."""
-        bucket = self._holder.flows.peek(flow)
+        bucket = self._holder.bucket_of(flow)
         if bucket is None:
             return None
         own = self._shared.name
--- a/packages/teaseldock/teaseldock/guard.py
+++ b/packages/teaseldock/teaseldock/guard.py
@@ -76,14 +76,14 @@
         :param key: of its exchange.
         """
         if not request.echo:
-            return self._challenge(flow, request, now)
+            return self.challenge(flow, request, now)
         try:
             given = challenge.read(
                 request.echo, flow, keys=self._shared.keys.seal
             )
         except exceptions.ChallengeError:
             self._shared.counters['challenges_unreadable'] += 1
-            return self._challenge(flow, request, now)
+            return self.challenge(flow, request, now)
         own = self._shared.view.own_incarnations()
         if given.holder != self._number or given.incarnation not in own:
             return self._to_challenger(flow, request, given)
@@ -95,9 +95,24 @@
             return _UNKNOWN
         return _RUN
 
-    def _challenge(
+    def is_answered(self, flow: bytes, request: base.Request) -> bool:
+        """Tell whether a request answers a challenge sent to its flow.
+
+        Any process of the fleet may have issued it: only who receives the
+        flow's packets can know the value.
+        """
+        if not request.echo:
+            return False
+        try:
+            challenge.read(request.echo, flow, keys=self._shared.keys.seal)
+        except exceptions.ChallengeError:
+            return False
+        return True
+
+    def challenge(
         self, flow: bytes, request: base.Request, now: float
     ) -> Ruling:
+        """Ask a caller to send its request again with a challenge."""
         self._shared.counters['challenges'] += 1
         issued = challenge.Challenge(
             self._number,
--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -26,6 +26,13 @@
 TRANSFER_IDLE_S = 5.0
 
 
+#: Values of the flow store: the bucket, and with this bit a caller who has
+#: proved that the flow's address is its own. Shared objects, no memory of a
+#: flow's own.
+_PROVED_BIT = 0x100
+_VALUES = tuple(range(2 * _PROVED_BIT))
+
+
 class Holder:
     """Own the flows that were placed at this instance for one service."""
 
@@ -62,7 +69,7 @@
 
     @property
     def flows(self) -> flow_store.FlowStore:
-        """Return the flows held; the value of each is its bucket."""
+        """Return the flows held."""
         return self._flows
 
     @property
@@ -129,7 +136,34 @@
         """Become the holder of a flow."""
         if self._flows.get(flow) is None:
             bucket = flows.bucket_of(flow, key=self._shared.keys.flow_hash)
-            self._flows.put(flow, bucket)
+            self._flows.put(flow, _VALUES[bucket])
+
+    def bucket_of(self, flow: bytes) -> int | None:
+        """Return the bucket of a flow that is held here, or None."""
+        value = self._flows.peek(flow)
+        return None if value is None else value & (_PROVED_BIT - 1)
+
+    def prove(self, flow: bytes) -> None:
+        """Note that a held flow's caller has proved its address."""
+        bucket = self.bucket_of(flow)
+        if bucket is not None:
+            self._flows.put(flow, _VALUES[bucket | _PROVED_BIT])
+
+    def _has_proved(self, flow: bytes, request: base.Request) -> bool:
+        """Tell whether a caller is where it says it is.
+
+        Anyone can send under another's address. Without proof the answers,
+        and a feed's for hours, would go to a victim; it would show as traffic
+        to addresses that never asked.
+        """
+        value = self._flows.peek(flow)
+        if value is None or value & _PROVED_BIT:
+            # A flow that is not held was handed here by its challenge.
+            return True
+        if not self._coordinator.guard.is_answered(flow, request):
+            return False
+        self.prove(flow)
+        return True
 
     def release(self, flow: bytes, now: float) -> list[messages.Action]:
         """Stop holding a flow and end its feeds at the server."""
@@ -158,6 +192,10 @@
             return []
         if isinstance(request, base.Control):
             return self._on_control(packet.flow, request)
+        if not self._has_proved(packet.flow, request):
+            return self._coordinator.guard.challenge(
+                packet.flow, request, now
+            ).actions
         if request.observe == 1:
             return self._on_cancel_feed(packet.flow, request, now)
         if request.pinned:
--- a/packages/teaseldock/teaseldock/target.py
+++ b/packages/teaseldock/teaseldock/target.py
@@ -223,6 +223,7 @@
         self, message: messages.Transfer, now: float
     ) -> list[messages.Action]:
         self._holder.adopt(message.flow)
+        self._holder.prove(message.flow)
         self._owner.forget(message.flow)
         self._announcer.taken_over(message.flow)
         coordinator = self._holder.coordinator
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -121,18 +121,29 @@
             return 'outcome unknown', body
         return f'error {answer.code}', body
 
+    async def _open_feed(self, identity: str) -> typing.Any:
+        """Register for the feed, with a challenge if one is asked for."""
+        echo = None
+        for _ in range(3):
+            message = aiocoap.Message(
+                code=aiocoap.GET,
+                uri=f'coap://{self.options["address"]}/feed?{identity}',
+            )
+            message.opt.observe = 0
+            message.opt.echo = echo
+            request = self.context.request(message)
+            answer = await asyncio.wait_for(request.response, GIVE_UP_S)
+            if answer.code != aiocoap.UNAUTHORIZED or not answer.opt.echo:
+                return request, answer
+            echo = answer.opt.echo
+        return request, answer
+
     async def _feed(self) -> None:
         identity = self._identity()
-        message = aiocoap.Message(
-            code=aiocoap.GET,
-            uri=f'coap://{self.options["address"]}/feed?{identity}',
-        )
-        message.opt.observe = 0
-        request = self.context.request(message)
         notes = 0
         outcome = 'kept'
         try:
-            answer = await asyncio.wait_for(request.response, GIVE_UP_S)
+            request, answer = await self._open_feed(identity)
             outcome = self._judge_feed(answer, identity)
             source = aiter(request.observation)
             while outcome == 'kept' and time.monotonic() < self.until:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,6 +4,7 @@
 
 import copy
 
+from bench import fakes
 from bench import world
 from tests import promises
 
@@ -55,3 +56,38 @@
     packet = world.proxy_header.Packet(caller.flow, number, 1, 0, 0, b'')
     assert node.on_packet(packet, small.now) == []
     assert node.counters['dropped_wrong_service'] == 1
+
+
+def test_an_unproved_address_gets_no_answer(small: world.World) -> None:
+    """Requests under a forged address bring a challenge and nothing more.
+
+    Symptom: a victim that never asked gets feeds for hours. Sequence: someone
+    registers for a feed under the victim's address. Cause to guard against:
+    answering, and observing, before the caller has proved its address.
+    """
+    victim = small.add_caller('dispatch')
+    received: list[bytes] = []
+    victim.receive = received.append
+    sent = []
+    for number in range(5):
+        forged = fakes.msgspec.msgpack.encode(
+            [
+                0,
+                number,
+                b'x',
+                'GET',
+                'feed',
+                b'',
+                number % 2,
+                None,
+                'dispatch-1-x',
+            ]
+        )
+        sent.append(forged)
+        small.from_caller(victim.flow, forged)
+    small.run_until(small.now + 30.0)
+    kinds = [
+        fakes.Answer(*fakes.msgspec.msgpack.decode(item)).kind
+        for item in received
+    ]
+    assert kinds == ['challenge'] * 5
