Make service tables on demand; measure agents, feeds and exchanges

Cause: an agent made 22,000 service tables and needs eight. Change: a table is made when first asked for; addresses are found through the inventory's index.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,16 +19,22 @@
 import time
 import typing
 
+import aiocoap
+
 from bench import path
 from bench import programs
 from bench import world
+from teaseldock.codecs import coap
 from teaseldock import configuration
+from teaseldock import exchanges
+from teaseldock import feeds
 from teaseldock import flow
 from teaseldock import membership
 from teaseldock import messages
 from teaseldock import proxy_header
 from teaseldock import roster
 from teaseldock import wire
+from teaseldock_agent import application as agent_application
 from teaseldock_balancer import application as balancer_application
 
 #: The letter's size.
@@ -37,6 +43,7 @@
 DAEMONS = 6_900
 FRACTIONS = (0.125, 0.25, 0.5, 1.0)
 MEMBERS = (50, 150, 450, 1150)
+REQUESTS = (4_000, 8_000, 16_000, 32_000)
 FLOWS = (2_000, 8_000, 32_000, 128_000)
 SERVICE_SIZES = (2, 4, 8, 16)
 SERVICES_PER_PART = 30
@@ -170,6 +177,56 @@
     }
 
 
+async def agent_table_point(fraction: float) -> dict[str, float]:
+    """Hold a share of the whole table in an agent, which routes little."""
+    base = resident_mb()
+    program = agent_application.AgentProgram(path._values(name='instance-5'))
+    program._node.offer(_parts(fraction), 0.0, wall_s=0.0)
+    gc.collect()
+    return {
+        'targets': TARGETS * fraction,
+        'base_mb': base,
+        'resident_mb': resident_mb(),
+        'own_targets': len(program._agent.targets),
+    }
+
+
+def requests_point(count: int) -> dict[str, float]:
+    """Hold feeds, and exchanges that may still be repeated."""
+    message = aiocoap.Message(code=aiocoap.GET, payload=b'x' * 20)
+    message.opt.uri_path = ('status', 'truck-17')
+    message.mtype = aiocoap.CON
+    codec = coap.CoapCodec()
+    service = flow.Endpoint('10.9.0.1', 5683)
+    feed_table = feeds.FeedTable()
+    exchange_table = exchanges.ExchangeTable()
+    gc.collect()
+    sizes = []
+    for kind in ('feed', 'exchange'):
+        before = resident_mb()
+        for number in range(count):
+            caller = flow.Endpoint(
+                f'10.7.{number >> 14}.1', 1 + number % 16384
+            )
+            key = flow.flow_key(caller, service)
+            message.mid = number % 65536
+            message.token = number.to_bytes(4, 'big')
+            request = codec.read_caller(message.encode())
+            if kind == 'feed':
+                feed_table.add(number, feeds.FeedState(key, request, 1))
+                continue
+            exchange = exchanges.Exchange(key, request.body, 0.0, guarded=True)
+            exchange_table.begin(key + request.exchange, exchange)
+            exchange_table.answered(exchange, bytes(60))
+            exchange_table.use(number, key + request.exchange, 0.0)
+        sizes.append(resident_mb() - before)
+    return {
+        'requests': count,
+        'feeds_mb': sizes[0],
+        'exchanges_mb': sizes[1],
+    }
+
+
 def membership_point(count: int) -> dict[str, float]:
     """Run one member among many that all answer."""
     own = roster.new_member(
@@ -339,6 +396,8 @@
 
 PARTS: dict[str, tuple[tuple[float, ...], str, tuple[str, ...]]] = {
     'table': (FRACTIONS, 'targets', ('resident_mb', 'load_s', 'change_ms')),
+    'agent_table': (FRACTIONS, 'targets', ('resident_mb',)),
+    'requests': (REQUESTS, 'requests', ('feeds_mb', 'exchanges_mb')),
     'membership': (
         MEMBERS,
         'members',
@@ -357,6 +416,10 @@
     match part:
         case 'table':
             return asyncio.run(table_point(size))
+        case 'agent_table':
+            return asyncio.run(agent_table_point(size))
+        case 'requests':
+            return requests_point(int(size))
         case 'membership':
             return membership_point(int(size))
         case 'flows':
--- a/bench/path.py
+++ b/bench/path.py
@@ -298,12 +298,14 @@
         contents = build_inventory(targets)
         began = time.perf_counter()
         built = table.Table(contents)
+        for name in contents.services:
+            built.service(name)
         times[f'build_ms_{targets}'] = 1000 * (time.perf_counter() - began)
         name = next(iter(contents.services))
         changed = dict(contents.services)
         changed[name] = {**changed[name], 'port': 9}
         began = time.perf_counter()
-        table.Table(contents._replace(services=changed), built)
+        table.Table(contents._replace(services=changed), built).service(name)
         times[f'change_ms_{targets}'] = 1000 * (time.perf_counter() - began)
     return times
 
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -77,7 +77,7 @@
         now=0.0,
     )
     holder.offer(documents, 0.0, wall_s=0.0)
-    number = entry.view.table.services['tickets'].number
+    number = entry.view.table.service('tickets').number
     packet = proxy_header.Packet(
         key, number, 2, proxy_header.Role.PLACED, 0, request(1, None)
     )
--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -55,6 +55,8 @@
             randomness=randomness,
         )
         self._targets: dict[int, target.Target] = {}
+        self._scanned: inventory.Inventory | None = None
+        self._own_names: list[str] = []
         self._next_loads_at = now
         self._last_loads: list[messages.ServiceLoad] = []
         self._busy_until = now
@@ -86,23 +88,39 @@
     def on_view_changed(self, now: float) -> list[messages.Action]:
         """Build, change and withdraw targets as the rules say."""
         contents = self._view.inventory
-        for name, service in self._view.table.services.items():
+        slots = self._slots(contents)
+        for name in self._own_services(contents):
+            service = self._view.table.service(name)
             rules = contents.services[name]
             existing = self._targets.get(service.number)
-            if existing is None and self._shared.name not in service.weights:
-                continue
-            slots = self._slots(contents)
             if existing is not None:
                 existing.refresh(service, rules, slots=slots, now=now)
                 continue
             self._targets[service.number] = target.Target(
                 self._shared, service, rules, slots=slots, now=now
             )
-        for item in list(self._targets.values()):
+        for item in self._targets.values():
             if item.service.name not in contents.services:
                 item.withdraw()
         return []
 
+    def _own_services(self, contents: inventory.Inventory) -> list[str]:
+        """Return the services that this instance serves, or still leaves."""
+        if contents is self._scanned:
+            return self._own_names
+        own = self._shared.name
+        names = {
+            name
+            for name, service in contents.services.items()
+            if any(item['instance'] == own for item in service['targets'])
+        }
+        for item in self._targets.values():
+            if item.service.name in contents.services:
+                names.add(item.service.name)
+        self._scanned = contents
+        self._own_names = sorted(names)
+        return self._own_names
+
     def _slots(self, contents: inventory.Inventory) -> int:
         instance = contents.instances.get(self._shared.name)
         return instance['slots'] if instance else 1
@@ -123,7 +141,7 @@
             self._shared.counters['dropped_no_such_target'] += 1
             return []
         named = self._view.table.at(packet.flow[4:8] + packet.flow[10:12])
-        if named is None or named.number != packet.service:
+        if named is None or named.name != item.service.name:
             self._shared.counters['dropped_wrong_service'] += 1
             return []
         self._busy_until = now + LINGER_S
--- a/packages/teaseldock/teaseldock/balancer.py
+++ b/packages/teaseldock/teaseldock/balancer.py
@@ -41,5 +41,5 @@
         """Return figures for the status page."""
         return {
             'dropped': dict(self._router.dropped),
-            'services': len(self._view.table.services),
+            'services': len(self._view.table),
         }
--- a/packages/teaseldock/teaseldock/table.py
+++ b/packages/teaseldock/teaseldock/table.py
@@ -43,6 +43,7 @@
     __slots__ = (
         '_name',
         '_number',
+        '_targets',
         '_names',
         '_weights',
         '_owners',
@@ -56,6 +57,7 @@
         """
         self._name = service['name']
         self._number = service_id(service['name'])
+        self._targets = service['targets']
         self._weights = {
             target['instance']: target['weight']
             for target in service['targets']
@@ -79,6 +81,11 @@
         """Return the paid share of each instance, as a relative weight."""
         return self._weights
 
+    def is_of(self, service: inventory.Service) -> bool:
+        """Tell whether this is the table of an entry of the rules."""
+        targets = service['targets']
+        return self._targets is targets or self._targets == targets
+
     def rank(self, bucket: int) -> tuple[str, ...]:
         """Return all instances of the service, best first."""
         scored = [(self._score(name, bucket), name) for name in self._names]
@@ -141,57 +148,45 @@
     """Map service endpoints to service tables: a function of one inventory.
 
     Every process that holds the same inventory computes the same table, so
-    that balancers agree without exchanging a message.
+    that balancers agree without exchanging a message. A service's table is
+    made when it is first asked for: an agent needs a few out of thousands.
     """
 
     def __init__(
         self, contents: inventory.Inventory, previous: Table | None = None
     ) -> None:
-        """Build the table, taking over ranks that did not change.
+        """Make no service table yet.
 
-        :param previous: the table that this one replaces.
+        :param previous: the table that this one replaces; what it has made
+            for services that did not change is taken over.
         """
-        self._sources: dict[str, inventory.Service] = contents.services
-        self._services: dict[str, ServiceTable] = {}
-        self._by_endpoint: dict[bytes, ServiceTable] = {}
-        known = {}
+        self._contents = contents
+        self._made: dict[str, ServiceTable] = {}
         if previous is not None:
-            self._services = dict(previous._services)
-            self._by_endpoint = dict(previous._by_endpoint)
-            known = previous._sources
-        current = contents.services
-        changed = [
-            service
-            for name, service in current.items()
-            if known.get(name) is not service
-        ]
-        for name in known.keys() - current.keys():
-            del self._services[name]
-            self._by_endpoint.pop(_packed_endpoint(known[name]), None)
-        for service in changed:
-            former = known.get(service['name'])
-            if former is not None:
-                self._by_endpoint.pop(_packed_endpoint(former), None)
-        for service in changed:
-            self._add(service, known.get(service['name']))
-
-    def _add(
-        self, service: inventory.Service, former: inventory.Service | None
-    ) -> None:
-        name = service['name']
-        if former is None or former['targets'] != service['targets']:
-            self._services[name] = ServiceTable(service)
-        self._by_endpoint[_packed_endpoint(service)] = self._services[name]
-
-    @property
-    def services(self) -> dict[str, ServiceTable]:
-        """Return the service tables by name."""
-        return self._services
+            self._made = {
+                name: made
+                for name, made in previous._made.items()
+                if name in contents.services
+            }
+
+    def __len__(self) -> int:
+        return len(self._contents.services)
+
+    def service(self, name: str) -> ServiceTable | None:
+        """Return the table of a service, or None."""
+        entry = self._contents.services.get(name)
+        if entry is None:
+            return None
+        made = self._made.get(name)
+        if made is None or not made.is_of(entry):
+            made = ServiceTable(entry)
+            self._made[name] = made
+        return made
 
     def at(self, endpoint: bytes) -> ServiceTable | None:
         """Return the service at a packed endpoint, or None."""
-        return self._by_endpoint.get(endpoint)
-
-
-def _packed_endpoint(service: inventory.Service) -> bytes:
-    return inventory.service_endpoint(service).packed()
+        one, two, three, four = endpoint[:4]
+        host = f'{one}.{two}.{three}.{four}'
+        port = int.from_bytes(endpoint[4:], 'big')
+        name = self._contents.index.endpoints.get((host, port))
+        return self.service(name) if name is not None else None
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -101,7 +101,7 @@
         c
         for c in survivors
         if small.processes['dispatch-2'].node.view.owner(
-            small.processes['dispatch-2'].node.view.table.services['dispatch'],
+            small.processes['dispatch-2'].node.view.table.service('dispatch'),
             world.flow.bucket_of(c.flow, key=world.KEYS.flow_hash),
         )
         == dead
