--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,7 @@
 from bench import bounds
 from bench import path
 from bench import scenarios
-from bench import world
+from bench import shapes
 
 OURS = 'teaseldock'
 #: Seeds of a whole run, and of the short part that CI runs.
@@ -50,7 +50,7 @@
 def run_task(task: Task) -> dict[str, typing.Any]:
     """Run one seed and return its measures."""
     scenario = scenarios.SCENARIOS[task.scenario]
-    shape = world.SHAPES[task.deployment]
+    shape = shapes.SHAPES[task.deployment]
     if task.policy == OURS:
         return scenarios.Run(scenario, shape, task.seed).run()
     return baselines.BaselineRun(scenario, shape, task.seed, task.policy).run()
@@ -110,7 +110,7 @@
     known = SHORT_SCENARIOS if options.short else scenarios.SCENARIOS
     tasks = [
         Task(deployment, scenario, policy, seed)
-        for deployment in world.SHAPES
+        for deployment in shapes.SHAPES
         for scenario in choose('BENCH_SCENARIOS', known)
         for policy in choose('BENCH_POLICIES', [OURS, *baselines.POLICIES])
         for seed in range(first, first + count)
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -15,7 +15,7 @@
 
 from bench import fakes
 from bench import scenarios
-from bench import world
+from bench import shapes
 from teaseldock import table
 
 #: Seconds between two reports of load, which is how old they get.
@@ -126,7 +126,7 @@
     def __init__(
         self,
         scenario: scenarios.Scenario,
-        shape: world.Shape,
+        shape: shapes.Shape,
         seed: int,
         policy: str,
     ) -> None:
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -1,4 +1,4 @@
-"""Fake codec, backend servers and callers for runs in virtual time."""
+"""Fake backend servers and callers for runs in virtual time."""
 
 from __future__ import annotations
 
@@ -7,8 +7,7 @@
 
 import msgspec
 
-from teaseldock.codecs import base
-from teaseldock import exceptions
+from bench import fake_codec
 
 if typing.TYPE_CHECKING:
     from bench import world
@@ -23,119 +22,6 @@
 #: Seconds without a notification after which a feed counts as broken.
 FEED_GAP_S = 6.0
 
-_REQUEST = 0
-_CONTROL = 1
-_REPLY = 2
-_ANSWER = 3
-
-
-class Answer(typing.NamedTuple):
-    """What a caller receives.
-
-    :ivar kind: ``answer``, ``note``, ``challenge``, ``not run`` or
-        ``outcome unknown``.
-    """
-
-    message_id: int
-    token: bytes
-    kind: str
-    value: bytes
-    sequence: int
-    retry_after_s: int
-    identity: str
-
-
-class FakeCodec(base.Codec):
-    """Carry the same facts as CoAP, at a fraction of the time."""
-
-    def read_caller(self, payload: bytes) -> base.Request | base.Control:
-        """Read a request or a control datagram."""
-        try:
-            kind, *fields = msgspec.msgpack.decode(payload)
-            if kind == _CONTROL:
-                return base.Control(*fields)
-            mid, token, method, segment, echo, observe, deadline, _ = fields
-        except (msgspec.DecodeError, ValueError, TypeError) as error:
-            raise exceptions.MessageError(
-                'fake', repr(error), remedy='none'
-            ) from error
-        return base.Request(
-            exchange=mid.to_bytes(4, 'big') + token,
-            token=token,
-            method=method,
-            segment=segment,
-            idempotent=method != 'POST',
-            echo=echo,
-            observe=observe,
-            pinned=False,
-            deadline_s=deadline,
-            body=payload,
-        )
-
-    def for_server(self, body: bytes, *, call: int, flow: bytes) -> bytes:
-        """Return the request with its call."""
-        return msgspec.msgpack.encode([call, body])
-
-    def cancel_feed(self, body: bytes, *, call: int) -> bytes:
-        """Return the registration with Observe 1."""
-        fields = msgspec.msgpack.decode(body)
-        fields[6] = 1
-        return msgspec.msgpack.encode(fields)
-
-    def read_server(self, payload: bytes) -> base.ServerReply:
-        """Read a reply."""
-        _, call, observe, shed, _ = msgspec.msgpack.decode(payload)
-        return base.ServerReply(call, observe, shed, b'', payload)
-
-    def answer(
-        self, request: base.Request, body: bytes, *, sequence: int | None
-    ) -> bytes:
-        """Return a server's answer for the caller."""
-        identity = msgspec.msgpack.decode(body)[4]
-        return self._to_caller(request, 'answer', b'', sequence or 0, identity)
-
-    def notification(
-        self,
-        request: base.Request,
-        body: bytes,
-        *,
-        sequence: int,
-        message_id: int,
-    ) -> bytes:
-        """Return a notification for the caller."""
-        identity = msgspec.msgpack.decode(body)[4]
-        return self._to_caller(request, 'note', b'', sequence, identity)
-
-    def challenge(self, request: base.Request, value: bytes) -> bytes:
-        """Return a challenge for the caller."""
-        return self._to_caller(request, 'challenge', value, 0, '')
-
-    def refusal(
-        self,
-        request: base.Request,
-        reason: base.Refusal,
-        *,
-        retry_after_s: int,
-    ) -> bytes:
-        """Return a refusal for the caller."""
-        return self._to_caller(
-            request, reason.value, b'', 0, '', retry_after_s
-        )
-
-    def _to_caller(
-        self,
-        request: base.Request,
-        kind: str,
-        value: bytes,
-        sequence: int,
-        identity: str,
-        after: int = 0,
-    ) -> bytes:
-        mid = int.from_bytes(request.exchange[:4], 'big')
-        return msgspec.msgpack.encode(
-            [mid, request.token, kind, value, sequence, after, identity]
-        )
-
 
 class Ran(typing.NamedTuple):
     """One line of a server's log."""
@@ -236,7 +122,7 @@
         self, call: int, observe: int | None, shed: bool, identity: str
     ) -> None:
         payload = msgspec.msgpack.encode(
-            [_REPLY, call, observe, shed, identity]
+            [fake_codec.REPLY, call, observe, shed, identity]
         )
         self._world.from_server(self._instance, self._service, payload)
 
@@ -319,7 +205,7 @@
         state['mid'] = self._mid
         payload = msgspec.msgpack.encode(
             [
-                _REQUEST,
+                fake_codec.REQUEST,
                 self._mid,
                 state['token'],
                 state['method'],
@@ -368,7 +254,7 @@
 
     def receive(self, payload: bytes) -> None:
         """Take a datagram from the fabric."""
-        answer = Answer(*msgspec.msgpack.decode(payload))
+        answer = fake_codec.Answer(*msgspec.msgpack.decode(payload))
         if answer.kind == 'note':
             self._on_note(answer)
             return
@@ -387,7 +273,7 @@
         self._finish(state, outcome)
         self._world.answered(self, outcome, answer.retry_after_s)
 
-    def _on_note(self, answer: Answer) -> None:
+    def _on_note(self, answer: fake_codec.Answer) -> None:
         feed = self.feed
         if feed is None or answer.sequence <= feed['sequence']:
             return
--- a/bench/path.py
+++ b/bench/path.py
@@ -19,6 +19,7 @@
 
 import aiocoap
 
+from bench import shapes
 from bench import world
 from teaseldock import flow
 from teaseldock import inventory
@@ -68,7 +69,7 @@
 
 def _documents(sink: socket.socket) -> list[typing.Any]:
     """Return register and rules whose agents are all the sink."""
-    drive = world.World(world.PRAIRIE, seed=1)
+    drive = world.World(shapes.PRAIRIE, seed=1)
     port = sink.getsockname()[1]
     for number, instance in enumerate(drive.register['instances']):
         instance['address'] = f'127.0.1.{number + 1}'
@@ -235,7 +236,7 @@
 
 def bytes_per_flow() -> float:
     """Return memory of one held flow, with very many of them."""
-    drive = world.World(world.PRAIRIE, seed=1)
+    drive = world.World(shapes.PRAIRIE, seed=1)
     drive.run_until(1.0)
     holder = drive.processes['dispatch-1'].node.find('dispatch').holder
     service = flow.Endpoint('10.9.0.1', 5683)
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -7,6 +7,7 @@
 import typing
 
 from bench import fakes
+from bench import shapes
 from bench import world
 
 #: Seconds before arrivals count, and seconds that are measured. Servers start
@@ -163,7 +164,7 @@
     """One scenario with the real decisions."""
 
     def __init__(
-        self, scenario: Scenario, shape: world.Shape, seed: int
+        self, scenario: Scenario, shape: shapes.Shape, seed: int
     ) -> None:
         """Prepare the deployment and its callers."""
         self.scenario = scenario
--- a/bench/world.py
+++ b/bench/world.py
@@ -12,7 +12,9 @@
 import random
 import typing
 
+from bench import fake_codec
 from bench import fakes
+from bench import shapes
 from teaseldock import agent
 from teaseldock import balancer
 from teaseldock import configuration
@@ -35,44 +37,6 @@
 WALL_START_S = 1_000_000.0
 
 
-class Shape(typing.NamedTuple):
-    """A deployment: who serves what, and how far apart.
-
-    :ivar services: name and number of targets.
-    :ivar hop_s: one way between data centres, seconds.
-    :ivar client_s: one way between callers and the system, seconds.
-    """
-
-    name: str
-    services: tuple[tuple[str, int], ...]
-    slots: int
-    hop_s: float
-    client_s: float
-    guarded: str
-    feed_service: str
-
-
-PRAIRIE = Shape(
-    'prairie',
-    (('dispatch', 7), ('tickets', 3)),
-    2,
-    0.0015,
-    0.003,
-    'orders',
-    'dispatch',
-)
-ZILINA = Shape(
-    'zilina',
-    (('payroll', 7), ('documents', 3)),
-    4,
-    0.0005,
-    0.001,
-    'hours',
-    'payroll',
-)
-SHAPES = {shape.name: shape for shape in (PRAIRIE, ZILINA)}
-
-
 class Process:
     """A node of the system in virtual time."""
 
@@ -91,7 +55,7 @@
 
     def __init__(
         self,
-        shape: Shape,
+        shape: shapes.Shape,
         *,
         seed: int,
         service_s: float = 0.02,
@@ -128,7 +92,7 @@
         self._addresses: dict[tuple[str, int], str] = {}
         self._fabric: list[str] = []
         self._starts = 0
-        self.register, self.rules = self._documents()
+        self.register, self.rules = shapes.documents(shape)
         self.publish('register', self.register)
         self.publish('rules', self.rules)
         for instance in self.register['instances']:
@@ -137,51 +101,9 @@
             self.start_balancer(f'balancer-{number + 1}')
         self.schedule(LIST_S, self._read_list)
 
-    def _documents(self) -> tuple[dict, dict]:
-        instances = []
-        services = []
-        number = 0
-        for index, (name, count) in enumerate(self.shape.services):
-            targets = []
-            for _ in range(count):
-                number += 1
-                instance = self.new_instance(f'{name}-{number}', number)
-                instances.append(instance)
-                targets.append(
-                    {'instance': instance['name'], 'port': 1, 'weight': 1.0}
-                )
-            services.append(
-                {
-                    'name': name,
-                    'address': f'10.9.0.{index + 1}',
-                    'port': 5683,
-                    'targets': targets,
-                    'request_classes': [
-                        {
-                            'name': 'guarded',
-                            'method': 'POST',
-                            'path': self.shape.guarded,
-                            'weight': 2.0,
-                        }
-                    ],
-                }
-            )
-        centres = [{'name': f'dc-{n}', 'region': 'r'} for n in range(3)]
-        return (
-            {'data_centres': centres, 'instances': instances},
-            {'services': services, 'leaving': []},
-        )
-
     def new_instance(self, name: str, number: int) -> dict[str, typing.Any]:
-        """Return a register entry."""
-        return {
-            'name': name,
-            'data_centre': f'dc-{number % 3}',
-            'address': f'10.1.0.{number}',
-            'peer_port': 5700,
-            'slots': self.shape.slots,
-            'connections': 2000,
-        }
+        """Return a register entry of this deployment."""
+        return shapes.new_instance(self.shape, name, number)
 
     def schedule(
         self, delay: float, action: typing.Callable, *arguments: typing.Any
@@ -302,7 +224,7 @@
         )
         node = agent.Agent(
             own=own,
-            codec=fakes.FakeCodec(),
+            codec=fake_codec.FakeCodec(),
             keys=KEYS,
             randomness=random.Random(self.random.randrange(1 << 30)),
             now=self.now,
@@ -556,7 +478,7 @@
 
     def _on_server(self, instance: str, service: str, payload: bytes) -> None:
         node = self.processes[instance].node
-        reply = fakes.FakeCodec().read_server(payload)
+        reply = fake_codec.FakeCodec().read_server(payload)
         actions = node.on_server_reply(service, reply, self.now)
         self._perform(instance, actions)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import hypothesis
 import pytest
 
+from bench import shapes
 from bench import world
 
 hypothesis.settings.register_profile(
@@ -16,7 +17,7 @@
 )
 hypothesis.settings.load_profile('ci')
 
-SMALL = world.Shape(
+SMALL = shapes.Shape(
     'small',
     (('dispatch', 4), ('tickets', 2)),
     2,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench import fake_codec
 from bench import fakes
 from bench import world
 from teaseldock import messages
@@ -85,13 +86,15 @@
 def _challenge_of(node: world.agent.Agent, caller: fakes.FakeCaller) -> bytes:
     """Return a challenge as a (dead) agent would have issued it."""
     coordinator = node.find('dispatch').holder.coordinator
-    request = fakes.FakeCodec().read_caller(
-        fakes.msgspec.msgpack.encode(
+    request = fake_codec.FakeCodec().read_caller(
+        fake_codec.msgspec.msgpack.encode(
             [0, 99999, b'x', 'POST', 'orders', b'', None, None, 'x']
         )
     )
     (action,) = coordinator.on_request(caller.flow, request, 2.0)
-    return fakes.Answer(*fakes.msgspec.msgpack.decode(action.payload)).value
+    return fake_codec.Answer(
+        *fake_codec.msgspec.msgpack.decode(action.payload)
+    ).value
 
 
 def test_runner_of_a_handed_on_order_dies(small: world.World) -> None:
@@ -176,7 +179,7 @@
     run = small
     node = run.processes['dispatch-2'].node
     target = node.find('dispatch')
-    body = fakes.msgspec.msgpack.encode(
+    body = fake_codec.msgspec.msgpack.encode(
         [0, 1, b't', 'POST', 'orders', b'', None, None, 'dispatch-0-1']
     )
     execute = messages.Execute(
@@ -239,7 +242,7 @@
     dropped = []
 
     def lossy(payload: bytes) -> None:
-        answer = fakes.Answer(*fakes.msgspec.msgpack.decode(payload))
+        answer = fake_codec.Answer(*fake_codec.msgspec.msgpack.decode(payload))
         if answer.kind == 'answer' and not dropped:
             dropped.append(answer)
             return
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,7 +4,7 @@
 
 import copy
 
-from bench import fakes
+from bench import fake_codec
 from bench import world
 from tests import promises
 
@@ -70,7 +70,7 @@
     victim.receive = received.append
     sent = []
     for number in range(5):
-        forged = fakes.msgspec.msgpack.encode(
+        forged = fake_codec.msgspec.msgpack.encode(
             [
                 0,
                 number,
@@ -87,7 +87,7 @@
         small.from_caller(victim.flow, forged)
     small.run_until(small.now + 30.0)
     kinds = [
-        fakes.Answer(*fakes.msgspec.msgpack.decode(item)).kind
+        fake_codec.Answer(*fake_codec.msgspec.msgpack.decode(item)).kind
         for item in received
     ]
     assert kinds == ['challenge'] * 5
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bench import shapes
 from bench import world
 from teaseldock import configuration
 
@@ -31,7 +32,7 @@
     """Twice the targets make no more reads for each change."""
     reads = []
     for count in (4, 12):
-        shape = world.Shape(
+        shape = shapes.Shape(
             'x', (('dispatch', count),), 2, 0.001, 0.001, 'orders', 'dispatch'
         )
         run = world.World(shape, seed=5, balancers=3)
