Let one fault in a tick or a read not be the last

Found while reading: an exception in the tick ended heartbeats for good while packets went on, and one in taking an answer ended the watch. Both are counted and gone on from; the first is logged. The tests drive the loops with a fault each time (written after the change; the old code has no such loop to fail).

--- a/packages/teaseldock-edge/teaseldock_edge/admin.py
+++ b/packages/teaseldock-edge/teaseldock_edge/admin.py
@@ -38,6 +38,7 @@
         'platform_failures',
         'platform_reads',
         'revision_alarms',
+        'tick_faults',
     }
 )
 
--- a/packages/teaseldock-edge/teaseldock_edge/platform_client.py
+++ b/packages/teaseldock-edge/teaseldock_edge/platform_client.py
@@ -114,8 +114,8 @@
         """Begin to read."""
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._watch()),
-            loop.create_task(self._read_list()),
+            loop.create_task(self._keep(self._watch)),
+            loop.create_task(self._keep(self._read_list)),
         ]
 
     def close(self) -> None:
@@ -161,6 +161,18 @@
     async def _pause(self, seconds: float) -> None:
         await asyncio.sleep(seconds * random.uniform(0.75, 1.25))
 
+    async def _keep(
+        self, work: typing.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        """Begin again after a fault, which would end the reading for good."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                self._failures += 1
+                self._note(False, f'fault while reading: {error!r}')
+            await self._pause(RETRY_S)
+
     async def _watch(self) -> None:
         await asyncio.sleep(random.uniform(0, self._start_spread_s))
         first = True
--- a/packages/teaseldock-edge/teaseldock_edge/program.py
+++ b/packages/teaseldock-edge/teaseldock_edge/program.py
@@ -52,6 +52,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._leaving = False
         self._greeted_at = 0.0
+        self._faults = 0
         self._dropped: dict[str, int] = {}
         self._peer = sockets.DatagramSocket(self._on_peer, place='--peer')
         self._admin = admin.AdminServer(
@@ -147,12 +148,26 @@
     async def _tick_forever(self) -> None:
         while True:
             now = time.monotonic()
-            self.perform(self._node.tick(now))
-            self.on_tick(now)
-            self._greet(now)
-            self._log_changes()
+            try:
+                self._tick(now)
+            except Exception as error:
+                # A fault in one tick must not end all ticks: heartbeats would
+                # stop, and the process would be taken for dead while it still
+                # answers callers.
+                self._note_fault(error)
             await asyncio.sleep(self._node.tick_interval(now))
 
+    def _tick(self, now: float) -> None:
+        self.perform(self._node.tick(now))
+        self.on_tick(now)
+        self._greet(now)
+        self._log_changes()
+
+    def _note_fault(self, error: Exception) -> None:
+        self._faults += 1
+        if self._faults == 1:
+            LOG.exception('a tick failed; counted from now on', error=error)
+
     def _greet(self, now: float) -> None:
         if self._node.members.fresh or now - self._greeted_at < GREET_S:
             return
@@ -229,6 +244,7 @@
             'revision_seen': digest.generation,
             'documents_refused': self._node.config.refused,
             'revision_alarms': self._node.config.alarms,
+            'tick_faults': self._faults,
             'pauses': self._node.members.pauses,
             'platform_reads': self._platform.reads,
             'platform_failures': self._platform.failures,
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,63 @@
+"""Test that one fault doesn't end what must go on."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bench import path
+from teaseldock_balancer import application
+
+
+def test_a_failing_tick_is_not_the_last() -> None:
+    """Ticks go on after one of them has failed.
+
+    Symptom guarded against: a process that answers callers and is taken for
+    dead by its peers. Sequence: a fault in one tick ends the task that ticks.
+    """
+
+    async def run() -> tuple[int, int]:
+        program = application.BalancerProgram(path._values())
+        calls = 0
+
+        def tick(now: float) -> list:
+            nonlocal calls
+            calls += 1
+            raise RuntimeError('for the test')
+
+        program._node.tick = tick
+        program._node.tick_interval = lambda now: 0.001
+        task = asyncio.create_task(program._tick_forever())
+        while calls < 3:
+            await asyncio.sleep(0.001)
+        task.cancel()
+        return calls, program.status()['tick_faults']
+
+    calls, faults = asyncio.run(run())
+    assert calls >= 3
+    assert faults >= 2
+
+
+def test_reading_goes_on_after_a_fault() -> None:
+    """The platform is read again after an answer that could not be taken."""
+
+    async def run() -> int:
+        program = application.BalancerProgram(path._values())
+        client = program._platform
+        begun = 0
+
+        async def work() -> None:
+            nonlocal begun
+            begun += 1
+            raise RuntimeError('for the test')
+
+        async def no_pause(seconds: float) -> None:
+            await asyncio.sleep(0)
+
+        client._pause = no_pause
+        task = asyncio.create_task(client._keep(work))
+        while begun < 3:
+            await asyncio.sleep(0)
+        task.cancel()
+        return client.failures
+
+    assert asyncio.run(run()) >= 2
