Refuse at once what is pushed out of a queue, whoever submitted it

Symptom: under overload callers waited 20 s for "outcome unknown" though nothing ran. Sequence: a handed-on request waits at a peer; a heavier one pushes it out there. Cause: the peer looked for it among its own callers' requests only and told nobody; it stayed open for good and would have held up a drain. Ruled out: lost messages. Found by reading; the test failed before and passes after. Also: a feed's registration at a leaving target that can't move the flow yet is served, not refused.

--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -91,17 +91,20 @@
         runner: executor.Executor,
         loads: placement.LoadView,
         own_load: typing.Callable[[float], load.Load],
+        refuse: typing.Callable[[list[executor.Job], float], list],
     ) -> None:
         """Start with no request.
 
         :param runner: executor of the local server.
         :param own_load: returns the local load at a time.
+        :param refuse: refuses local jobs, whoever submitted them.
         """
         self._shared = shared
         self._service = service
         self._runner = runner
         self._loads = loads
         self._own_load = own_load
+        self._refuse = refuse
         self._exchanges = exchanges.ExchangeTable()
         self._pending: dict[int, Pending] = {}
         self._open_flows: collections.Counter[bytes] = collections.Counter()
@@ -218,11 +221,10 @@
             self._pending[call] = pending
             verdict, started, evicted = self._runner.submit(job, now)
             actions += started
-            for other in evicted:
-                if other.call != call:
-                    actions += self.refuse_job(other, now)
-            evicted_itself = any(other.call == call for other in evicted)
-            if verdict is not executor.Verdict.REFUSED and not evicted_itself:
+            others = [other for other in evicted if other.call != call]
+            actions += self._refuse(others, now)
+            stayed = len(others) == len(evicted)
+            if verdict is not executor.Verdict.REFUSED and stayed:
                 return actions
             del self._pending[call]
             pending.tried.add(name)
@@ -232,9 +234,10 @@
         own = self._own_load(now)
         own_name = self._shared.name
         if self._stays(pending.request):
-            usable = own.accepting or pending.request.pinned
-            usable = usable and self._runner.server_up
-            return own_name if usable and not pending.tried else None
+            # Also while leaving: the flow could not move yet, and a planned
+            # change must not cost its caller the request.
+            usable = self._runner.server_up and not pending.tried
+            return own_name if usable else None
         excluded = self._shared.view.excluded
         if not own.accepting or own_name in pending.tried:
             own = None
--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -62,7 +62,7 @@
             now=now,
         )
         self._coordinator = coordinator.Coordinator(
-            shared, service, self._executor, loads, self.load
+            shared, service, self._executor, loads, self.load, self._refuse
         )
         self._loads = loads
         self._remote = remote.RemoteCalls(shared, service.number)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -255,3 +255,29 @@
     assert small.asked[-1].identity == identity
     assert small.asked[-1].outcome == 'answer'
     promises.assert_safe(small)
+
+
+def test_what_is_pushed_out_is_refused_at_once(small: world.World) -> None:
+    """A handed-on request that a heavier one pushes out is answered at once.
+
+    Symptom: callers wait 20 s for "outcome unknown" under overload, though
+    nothing ran. Sequence: a status request waits at a peer that it was handed
+    on to; orders arrive there and push it out of the queue. Cause: the peer
+    looked for it among its own callers' requests only, and told nobody.
+    """
+    callers = [small.add_caller('dispatch') for _ in range(500)]
+    for caller in callers:
+        caller.ask('GET', 'status')
+    small.run_until(small.now + 1.0)
+    for server in small.servers.values():
+        server._service_s = 0.1
+    for _ in range(4):
+        for number, caller in enumerate(callers):
+            kind = ('POST', 'orders') if number % 2 else ('GET', 'status')
+            caller.ask(*kind)
+        small.run_until(small.now + 1.0)
+    small.run_until(small.now + 30.0)
+    counts = promises.outcomes(small)
+    assert set(counts) <= {'answer', 'not run'}
+    assert max(item.seconds for item in small.asked) < 4.0
+    promises.assert_safe(small)
