--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     'broken_flows_weighted',
     'broken_unexcused_weighted',
     'lost',
+    'unfinished',
     'outcome_unknown',
     'refused_not_run',
     'ran_twice',
@@ -132,7 +133,8 @@
             f'p50 {run["imbalance_p50"]:.3f} p99 {run["imbalance_p99"]:.3f} '
             f'broken {run["broken_flows_weighted"]:g}'
             f'/{run["broken_unexcused_weighted"]:g} '
-            f'twice {run["ran_twice"]} lost {run["lost"]} '
+            f'twice {run["ran_twice"]} '
+            f'lost {run["lost"]}+{run["unfinished"]} '
             f'goodput {run["goodput"]:.3f} '
             f'control {run["control_bytes_per_s_max"]:.0f}'
         )
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -163,6 +163,7 @@
         self.broken_feeds: set[int] = set()
         self._events: list = []
         self._count = 0
+        self._arrived = 0
 
     def schedule(self, delay: float, action: typing.Callable, *args) -> None:
         """Call something later."""
@@ -211,6 +212,7 @@
         if self.random.random() < self.scenario.hot:
             flow = 0
         self._count += 1
+        self._arrived += 1
         guarded = self.random.random() < scenarios.GUARDED_SHARE
         self._send(flow, f'{self.service}-{self._count}', guarded, self.now, 0)
 
@@ -363,6 +365,7 @@
             'imbalance_p50': scenarios.percentile(ratios, 0.5),
             'imbalance_p99': scenarios.percentile(ratios, 0.99),
             'lost': len(lost),
+            'unfinished': self._arrived - len(self.asked),
             'outcome_unknown': 0,
             'refused_not_run': sum(i.outcome == 'not run' for i in self.asked),
             'ran_twice': len(
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -59,6 +59,8 @@
     if scenarios.SCENARIOS[run['scenario']].planned:
         if run['broken_flows_weighted']:
             yield f'broken {run["broken_flows_weighted"]}, bound 0'
+        if run['unfinished']:
+            yield f'unfinished {run["unfinished"]}, bound 0'
     else:
         allowed = UNEXCUSED[run['scenario']] * run['seed_count']
         if run['broken_unexcused_weighted'] > allowed:
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -159,6 +159,11 @@
         self.feed: dict[str, typing.Any] | None = None
         self.flow_broken = False
 
+    @property
+    def unfinished(self) -> int:
+        """Return how many requests have no final answer."""
+        return len(self._open)
+
     def ask(
         self, method: str, segment: str, *, deadline_s: float | None = None
     ) -> str:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -311,6 +311,7 @@
             'imbalance_p50': percentile(ratios, 0.5),
             'imbalance_p99': percentile(ratios, 0.99),
             'lost': sum(item.outcome == 'lost' for item in asked),
+            'unfinished': sum(c.unfinished for c in drive.callers.values()),
             'outcome_unknown': sum(
                 item.outcome == 'outcome unknown' for item in asked
             ),
