--- a/bench/path.py
+++ b/bench/path.py
@@ -23,6 +23,7 @@
 from bench import world
 from teaseldock import flow
 from teaseldock import inventory
+from teaseldock import merge
 from teaseldock import proxy_header
 from teaseldock import table
 from teaseldock_agent import application as agent_application
@@ -289,7 +290,7 @@
         ],
         'leaving': [],
     }
-    return inventory.join([register], [rules])
+    return merge.join([register], [rules])
 
 
 def table_times() -> dict[str, float]:
--- a/packages/teaseldock/teaseldock/configuration.py
+++ b/packages/teaseldock/teaseldock/configuration.py
@@ -8,11 +8,10 @@
 from teaseldock import audit
 from teaseldock import exceptions
 from teaseldock import inventory
+from teaseldock import merge
 
 REGISTER_PREFIX = 'register'
 RULES_PREFIX = 'rules'
-#: Names in one audit record for each kind of change.
-DESCRIBED_NAMES = 8
 _CHECKSUMS = 1 << 56
 
 
@@ -278,7 +277,7 @@
             for item in documents
             if item.key in self._in_force
         ]
-        return inventory.revise(
+        return merge.revise(
             self._inventory, self._parts(replaced), self._parts(documents)
         )
 
@@ -328,10 +327,10 @@
             self._in_force[key] for key in documents if key in self._in_force
         ]
         touched.extend(documents.values())
-        names = inventory.names_of(self._parts(touched))
+        names = merge.names_of(self._parts(touched))
         self._in_force.update(documents)
         self._inventory = joined
-        detail = describe_change(before, joined, names)
+        detail = merge.describe(before, joined, names)
         for document in documents.values():
             self._trail.add(
                 audit.AuditRecord(
@@ -363,48 +362,6 @@
         )
 
 
-def _describe_names(
-    kind: str, names: typing.Iterable[str], before: dict, after: dict
-) -> list[str]:
-    found: dict[str, list[str]] = {'+': [], '-': [], '~': []}
-    for name in sorted(names):
-        if name not in before and name in after:
-            found['+'].append(name)
-        elif name in before and name not in after:
-            found['-'].append(name)
-        elif name in before and before[name] != after[name]:
-            found['~'].append(name)
-    return [
-        f'{sign}{kind} {",".join(listed[:DESCRIBED_NAMES])}'
-        for sign, listed in found.items()
-        if listed
-    ]
-
-
-def describe_change(
-    before: inventory.Inventory,
-    after: inventory.Inventory,
-    names: inventory.Names,
-) -> str:
-    """Return one line on what differs between two inventories.
-
-    :param names: of the entries that may differ.
-    """
-    parts = _describe_names(
-        'instances', names.instances, before.instances, after.instances
-    )
-    parts += _describe_names(
-        'services', names.services, before.services, after.services
-    )
-    parts += _describe_names(
-        'leaving',
-        before.leaving | after.leaving,
-        dict.fromkeys(before.leaving, True),
-        dict.fromkeys(after.leaving, True),
-    )
-    return '; '.join(parts) or 'nothing'
-
-
 def check_documents(documents: list[Document]) -> inventory.Inventory:
     """Check a whole configuration without putting it into force.
 
