--- a/bench/report.py
+++ b/bench/report.py
@@ -55,7 +55,9 @@
         axes.bar(places, heights, width, label=policy)
     axes.set_xticks(range(len(scenarios)), scenarios, rotation=40, ha='right')
     axes.set_title(title)
-    axes.legend(fontsize=8)
+    if measure.startswith('imbalance'):
+        axes.set_ylim(bottom=1.0)
+    axes.legend(fontsize=8, loc='upper left', bbox_to_anchor=(1.0, 1.0))
     figure.tight_layout()
     figure.savefig(FOLDER / name, dpi=110)
     pyplot.close(figure)
