--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,6 +21,9 @@
 REQUESTS = (4_000, 8_000, 16_000, 32_000)
 FLOWS = (2_000, 8_000, 32_000, 128_000)
 SERVICE_SIZES = (2, 4, 8, 16)
+RATES = (1, 4, 16, 64)
+#: Targets of the service whose rate of new flows grows.
+RATE_TARGETS = 3
 OUTPUT = pathlib.Path('build') / 'capacity.json'
 
 
@@ -66,7 +69,12 @@
     'new_flows': (
         SERVICE_SIZES,
         'targets_of_service',
-        ('quiet_bytes_per_s', 'bytes_per_s_at_4_flows_per_s'),
+        ('quiet_bytes_per_s', 'busy_bytes_per_s'),
+    ),
+    'rates': (
+        RATES,
+        'flows_per_s',
+        ('busy_bytes_per_s', 'us_per_new_flow'),
     ),
 }
 
@@ -77,6 +85,8 @@
             return asyncio.run(points.table_point(size))
         case 'agent_table':
             return asyncio.run(points.agent_table_point(size))
+        case 'rates':
+            return points.new_flows_point(RATE_TARGETS, size)
         case 'requests':
             return points.requests_point(int(size))
         case 'membership':
--- a/bench/points.py
+++ b/bench/points.py
@@ -29,6 +29,7 @@
 from teaseldock import wire
 from teaseldock_agent import application as agent_application
 from teaseldock_balancer import application as balancer_application
+from teaseldock_edge import traffic
 
 #: The letter's size.
 ADDRESSES = 22_000
@@ -309,8 +310,11 @@
     }
 
 
-def new_flows_point(targets: int) -> dict[str, float]:
-    """Open new flows at services of growing size, through a change."""
+def new_flows_point(targets: int, rate: float = 4.0) -> dict[str, float]:
+    """Open new flows at a service, and count control and agents' time.
+
+    :param rate: new flows a second at each target.
+    """
     shape = shapes.Shape(
         'x', (('dispatch', targets),), 4, 0.001, 0.001, 'orders', 'dispatch'
     )
@@ -318,26 +322,37 @@
     drive.run_until(6.0)
     agents = [n for n in drive.processes if n.startswith('dispatch')]
     sent: collections.Counter[str] = collections.Counter()
+    spent: collections.Counter[str] = collections.Counter()
     send = drive._send_message
+    handle = drive._on_packet
 
     def count(name: str, action: messages.ToPeer) -> None:
-        packed = wire.pack(action.message, key=world.KEYS.seal[0])
-        sent[type(action.message).__name__] += len(packed)
+        if not isinstance(action.message, traffic.DATA_MESSAGES):
+            packed = wire.pack(action.message, key=world.KEYS.seal[0])
+            sent['bytes'] += len(packed)
         send(name, action)
 
+    def measure(name: str, packet: proxy_header.Packet) -> None:
+        began = time.process_time()
+        handle(name, packet)
+        spent['seconds'] += time.process_time() - began
+
     drive._send_message = count
+    drive._on_packet = measure
     drive.run_until(16.0)
-    quiet = sum(sent.values()) / 10.0 / len(agents)
-    before = sent.copy()
-    for number in range(40 * targets):
+    quiet = sent['bytes'] / 10.0 / len(agents)
+    before = sent['bytes']
+    flows = int(10 * rate * targets)
+    for number in range(flows):
         caller = drive.add_caller('dispatch')
-        drive.schedule(number * 10.0 / (40 * targets), caller.ask, 'GET', 's')
+        drive.schedule(number * 10.0 / flows, caller.ask, 'GET', 's')
     drive.run_until(27.0)
-    busy = sum((sent - before).values()) / 11.0 / len(agents)
     return {
         'targets_of_service': targets,
+        'flows_per_s': rate,
         'quiet_bytes_per_s': quiet,
-        'bytes_per_s_at_4_flows_per_s': busy,
+        'busy_bytes_per_s': (sent['bytes'] - before) / 11.0 / len(agents),
+        'us_per_new_flow': 1e6 * spent['seconds'] / flows,
     }
 
 
