--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,6 +22,7 @@
 FLOWS = (2_000, 8_000, 32_000, 128_000)
 SERVICE_SIZES = (2, 4, 8, 16)
 RATES = (1, 4, 16, 64)
+PROCESSES = (50, 150, 450, 1150)
 #: Targets of the service whose rate of new flows grows.
 RATE_TARGETS = 3
 OUTPUT = pathlib.Path('build') / 'capacity.json'
@@ -71,6 +72,11 @@
         'targets_of_service',
         ('quiet_bytes_per_s', 'busy_bytes_per_s'),
     ),
+    'spreading': (
+        PROCESSES,
+        'processes',
+        ('in_force_s_max', 'reads_for_each_change'),
+    ),
     'rates': (
         RATES,
         'flows_per_s',
@@ -85,6 +91,8 @@
             return asyncio.run(points.table_point(size))
         case 'agent_table':
             return asyncio.run(points.agent_table_point(size))
+        case 'spreading':
+            return points.spreading_point(int(size))
         case 'rates':
             return points.new_flows_point(RATE_TARGETS, size)
         case 'requests':
--- a/bench/points.py
+++ b/bench/points.py
@@ -38,6 +38,7 @@
 SERVICES_PER_PART = 30
 INSTANCES_PER_PART = 50
 CHANGES = 20
+CHANGES_SPREAD = 6
 SECONDS = 60.0
 
 
@@ -356,6 +357,37 @@
     }
 
 
+def spreading_point(processes: int) -> dict[str, float]:
+    """Publish changes to very many processes of one region."""
+    shape = shapes.Shape(
+        'x', (('dispatch', 3),), 2, 0.0015, 0.003, 'orders', 'dispatch'
+    )
+    drive = world.World(shape, seed=1, balancers=processes - 3)
+    drive.run_until(30.0)
+    reads = drive.reads
+    longest = 0.0
+    for step in range(CHANGES_SPREAD):
+        drive.rules['leaving'] = [f'dispatch-{step % 2 + 1}']
+        revision = drive.publish('rules', drive.rules)
+        began = drive.now
+        drive.run_until(began + 5.0)
+        for process in drive.processes.values():
+            at = process.in_force.get(revision, float('inf'))
+            longest = max(longest, at - began)
+    windows = range(6, 6 + CHANGES_SPREAD)
+    return {
+        'processes': processes,
+        'in_force_s_max': longest,
+        'reads_for_each_change': (drive.reads - reads) / CHANGES_SPREAD,
+        'control_bytes_per_s_max': max(
+            process.control[window]
+            for process in drive.processes.values()
+            for window in windows
+        )
+        / world.CONTROL_WINDOW_S,
+    }
+
+
 def packet_cost() -> dict[str, float]:
     """Return microseconds of one packet in each role, as notes."""
     packet = proxy_header.Packet(b'f' * 12, 1, 1, 0, 0, b'x' * 100)
--- a/bench/world.py
+++ b/bench/world.py
@@ -238,7 +238,7 @@
             name,
             roster.ROLE_BALANCER,
             f'dc-{number % 3}',
-            f'10.2.0.{number}',
+            f'10.2.{number >> 8}.{number & 255}',
         )
         node = balancer.Balancer(
             own=own,
