Hold unexcused broken flows to zero again; list them as known red

Change: the bound is 0 again; KNOWN-RED.txt lists the two causes, the check prints them and passes over just these; the former allowances stay as ceilings under a name that is not listed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -142,11 +142,14 @@
         print(json.dumps(report['path']))
     if not options.check:
         return 0
+    listed = bounds.known_red()
     broken = bounds.check(runs)
-    for line in broken:
-        print(f'BOUND {line}')
-    print(f'{len(runs) - len(broken)} passed, {len(broken)} failed')
-    return 1 if broken else 0
+    for item in broken:
+        word = 'KNOWN RED' if item.check in listed else 'BOUND'
+        print(f'{word} {item.check}: {item.text}')
+    unlisted = [item for item in broken if item.check not in listed]
+    print(f'{len(broken) - len(unlisted)} known red, {len(unlisted)} new')
+    return 1 if unlisted else 0
 
 
 if __name__ == '__main__':
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 import typing
 
 from bench import scenarios
@@ -26,48 +27,82 @@
 }
 #: Least goodput at twice the capacity.
 GOODPUT_DOUBLE = 0.95
-#: Broken flows, weighted, that no dead holder or runner excuses, for each
-#: seed. The aim is 0; docs/PROOFS.md tells why it is not met.
-UNEXCUSED = {
+#: Broken flows, weighted, that no dead holder or runner excuses, must be 0.
+#: Where KNOWN-RED.txt says that they aren't, they still may not exceed this
+#: for each seed.
+CEILINGS = {
     'crash': 15.0,
     'cold-start': 15.0,
     'changes-and-crashes': 15.0,
     'partition': 1200.0,
 }
+KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 
-def check(runs: list[dict[str, typing.Any]]) -> list[str]:
-    """Return a line for each bound that a run of ours breaks."""
+class Break(typing.NamedTuple):
+    """A bound that does not hold.
+
+    :ivar check: name by which KNOWN-RED.txt may list it.
+    """
+
+    check: str
+    text: str
+
+
+def known_red() -> set[str]:
+    """Return the names of checks that KNOWN-RED.txt lists, one a line."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.split()[0] for line in lines if line.strip()}
+
+
+def check(runs: list[dict[str, typing.Any]]) -> list[Break]:
+    """Return each bound that a run of ours breaks."""
     broken = []
     for run in runs:
         if run['policy'] == OURS:
+            place = f'{run["deployment"]} {run["scenario"]}'
             broken += [
-                f'{run["deployment"]} {run["scenario"]}: {line}'
-                for line in _check_one(run)
+                Break(item.check, f'{place}: {item.text}')
+                for item in _check_one(run)
             ]
     return broken
 
 
-def _check_one(run: dict[str, typing.Any]) -> typing.Iterator[str]:
+def _check_one(run: dict[str, typing.Any]) -> typing.Iterator[Break]:
     for name in ZERO:
         if run[name]:
-            yield f'{name} {run[name]}, bound 0'
-    if run['control_bytes_per_s_max'] > CONTROL_BYTES_PER_S:
-        yield f'control {run["control_bytes_per_s_max"]} bytes/s'
-    if run['config_in_force_s_max'] > IN_FORCE_S:
-        yield f'in force after {run["config_in_force_s_max"]} s'
+            yield Break(name, f'{name} {run[name]}, bound 0')
+    control = run['control_bytes_per_s_max']
+    if control > CONTROL_BYTES_PER_S:
+        yield Break('control', f'control {control} bytes/s')
+    in_force = run['config_in_force_s_max']
+    if in_force > IN_FORCE_S:
+        yield Break('in-force', f'in force after {in_force} s')
     if scenarios.SCENARIOS[run['scenario']].planned:
-        if run['broken_flows_weighted']:
-            yield f'broken {run["broken_flows_weighted"]}, bound 0'
-        if run['unfinished']:
-            yield f'unfinished {run["unfinished"]}, bound 0'
+        for name in ('broken_flows_weighted', 'unfinished'):
+            if run[name]:
+                yield Break(name, f'{name} {run[name]}, bound 0')
     else:
-        allowed = UNEXCUSED[run['scenario']] * run['seed_count']
-        if run['broken_unexcused_weighted'] > allowed:
-            unexcused = run['broken_unexcused_weighted']
-            yield f'broken unexcused {unexcused}, bound {allowed}'
+        yield from _check_unexcused(run)
     bound = IMBALANCE_P99.get(f'{run["deployment"]}/{run["scenario"]}')
     if bound is not None and run['imbalance_p99'] > bound:
-        yield f'imbalance p99 {run["imbalance_p99"]}, bound {bound}'
+        text = f'imbalance p99 {run["imbalance_p99"]}, bound {bound}'
+        yield Break('imbalance', text)
     if run['scenario'] == 'double' and run['goodput'] < GOODPUT_DOUBLE:
-        yield f'goodput {run["goodput"]}, bound {GOODPUT_DOUBLE}'
+        text = f'goodput {run["goodput"]}, bound {GOODPUT_DOUBLE}'
+        yield Break('goodput', text)
+
+
+def _check_unexcused(run: dict[str, typing.Any]) -> typing.Iterator[Break]:
+    unexcused = run['broken_unexcused_weighted']
+    if not unexcused:
+        return
+    cause = 'partition' if run['scenario'] == 'partition' else 'crash'
+    text = f'broken unexcused {unexcused}, bound 0'
+    yield Break(f'bench/unexcused-after-{cause}', text)
+    ceiling = CEILINGS[run['scenario']] * run['seed_count']
+    if unexcused > ceiling:
+        text = f'broken unexcused {unexcused}, ceiling {ceiling}'
+        yield Break('unexcused-ceiling', text)
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,62 @@
+"""Test that bounds stay strict, and known red covers only what it lists."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import pytest
+
+from bench import bounds
+
+
+def run(scenario: str, **changes: typing.Any) -> dict[str, typing.Any]:
+    """Return a run of ours that breaks nothing, with changes."""
+    found = {
+        'deployment': 'prairie',
+        'scenario': scenario,
+        'policy': bounds.OURS,
+        'seed_count': 2,
+        'ran_twice': 0,
+        'misrouted': 0,
+        'untrue_refusals': 0,
+        'unfinished': 0,
+        'broken_flows_weighted': 0.0,
+        'broken_unexcused_weighted': 0.0,
+        'control_bytes_per_s_max': 1.0,
+        'config_in_force_s_max': 0.1,
+        'imbalance_p99': 1.0,
+        'goodput': 1.0,
+    }
+    return {**found, **changes}
+
+
+def names(found: dict[str, typing.Any]) -> list[str]:
+    """Return the checks that a run breaks."""
+    return [item.check for item in bounds.check([found])]
+
+
+def test_one_unexcused_broken_flow_is_red() -> None:
+    """The bound is zero, whatever is known."""
+    found = run('crash', broken_unexcused_weighted=1.0)
+    assert names(found) == ['bench/unexcused-after-crash']
+
+
+def test_a_regression_behind_a_known_red_is_new() -> None:
+    """Beyond its ceiling a known red check fails under another name."""
+    found = run('crash', broken_unexcused_weighted=31.0)
+    assert 'unexcused-ceiling' in names(found)
+    assert 'unexcused-ceiling' not in bounds.known_red()
+
+
+@pytest.mark.parametrize('name', ['ran_twice', 'misrouted', 'unfinished'])
+def test_nothing_else_is_excused(name: str) -> None:
+    """Promises that must always hold are on no list."""
+    assert names(run('drain', **{name: 1})) == [name]
+    assert name not in bounds.known_red()
+
+
+def test_at_most_three_lines() -> None:
+    """KNOWN-RED.txt stays short; without it nothing is known."""
+    lines = pathlib.Path(bounds.KNOWN_RED).read_text().splitlines()
+    assert len(lines) <= 3
