--- /dev/null
+++ b/packages/teaseldock-edge/teaseldock_edge/http_exchange.py
@@ -0,0 +1,311 @@
+"""Speak HTTP/1.1 on the reactor: ask one server, and serve a few pages."""
+
+from __future__ import annotations
+
+import socket
+import typing
+
+import httptools
+
+if typing.TYPE_CHECKING:
+    from teaseldock import flow
+    from teaseldock_edge import reactor
+
+#: Bytes read in one go.
+READ_BYTES = 65536
+#: Largest body of an answer: a megabyte of items with their encoding.
+MAX_BODY_BYTES = 8_000_000
+#: Connections that wait to be accepted by a page server.
+BACKLOG = 64
+#: Seconds after which a connection of a page server without a request is
+#: closed; who asks twice a second keeps it.
+IDLE_S = 10.0
+#: Largest request that a page server reads.
+MAX_REQUEST_BYTES = 8192
+
+OnAnswer = typing.Callable[[int, bytes], None]
+OnFailure = typing.Callable[[str], None]
+
+
+class Page(typing.NamedTuple):
+    """An answer of a page server.
+
+    :ivar status: HTTP status.
+    :ivar content_type: of the body.
+    :ivar body: text.
+    """
+
+    status: int
+    content_type: str
+    body: str
+
+
+class _Answer:
+    """Collect one answer as the parser finds its parts."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.complete = False
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class Client:
+    """One connection to one server, one request at a time."""
+
+    def __init__(self, loop: reactor.Reactor, address: flow.Endpoint) -> None:
+        """Prepare; connects with the first request."""
+        self._loop = loop
+        self._address = address
+        self._socket: socket.socket | None = None
+        self._connected = False
+        self._pending = b''
+        self._answer: _Answer | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._on_answer: OnAnswer | None = None
+        self._on_failure: OnFailure | None = None
+        self._timer: reactor.Timer | None = None
+
+    def get(
+        self,
+        path: str,
+        *,
+        timeout_s: float,
+        on_answer: OnAnswer,
+        on_failure: OnFailure,
+    ) -> None:
+        """Ask; exactly one of the two callbacks follows.
+
+        A connection may fall silent for good without a reset, so every
+        request has a time limit, and the connection is given up with it.
+        """
+        self._on_answer = on_answer
+        self._on_failure = on_failure
+        self._answer = _Answer()
+        self._parser = httptools.HttpResponseParser(self._answer)
+        host = f'{self._address.host}:{self._address.port}'
+        self._pending = f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode()
+        self._timer = self._loop.after(
+            timeout_s, lambda: self._fail(f'no answer within {timeout_s} s')
+        )
+        try:
+            if self._socket is None:
+                self._connect()
+        except OSError as error:
+            self._fail(f'connect: {error.strerror}')
+            return
+        self._loop.watch(self._socket, self._on_ready, writable=True)
+
+    def _connect(self) -> None:
+        self._connected = False
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            self._socket.connect(tuple(self._address))
+        except BlockingIOError:
+            pass
+
+    def close(self) -> None:
+        """Close the connection; no callback follows."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._on_answer = self._on_failure = None
+        self._disconnect()
+
+    def _disconnect(self) -> None:
+        if self._socket is None:
+            return
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+        self._socket = None
+
+    def _fail(self, problem: str) -> None:
+        on_failure = self._on_failure
+        self.close()
+        if on_failure is not None:
+            on_failure(problem)
+
+    def _on_ready(self, events: int) -> None:
+        try:
+            self._write()
+            self._read()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(f'connection: {error.strerror}')
+        except httptools.HttpParserError as error:
+            self._fail(f'unreadable answer: {error!r}')
+
+    def _write(self) -> None:
+        if not self._connected:
+            problem = self._socket.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ERROR
+            )
+            if problem:
+                raise OSError(problem, 'not connected')
+            self._connected = True
+        if not self._pending:
+            return
+        sent = self._socket.send(self._pending)
+        self._pending = self._pending[sent:]
+        if not self._pending:
+            self._loop.watch(self._socket, self._on_ready)
+
+    def _read(self) -> None:
+        while self._socket is not None:
+            part = self._socket.recv(READ_BYTES)
+            if not part:
+                self._fail('connection closed')
+                return
+            if self._parser is None:
+                # Bytes that nobody asked for: the connection is unusable.
+                self._disconnect()
+                return
+            self._parser.feed_data(part)
+            if len(self._answer.body) > MAX_BODY_BYTES:
+                self._fail('answer too large')
+                return
+            if self._answer.complete:
+                self._finish()
+                return
+
+    def _finish(self) -> None:
+        self._timer.cancel()
+        on_answer = self._on_answer
+        status = self._parser.get_status_code()
+        body = bytes(self._answer.body)
+        if not self._parser.should_keep_alive():
+            self._disconnect()
+        self._parser = self._answer = None
+        self._on_answer = self._on_failure = None
+        on_answer(status, body)
+
+
+class _Connection:
+    """One caller of a page server."""
+
+    def __init__(
+        self, server: PageServer, loop: reactor.Reactor, item: socket.socket
+    ) -> None:
+        self._server = server
+        self._loop = loop
+        self._socket = item
+        self._parser = httptools.HttpRequestParser(self)
+        self._path = b''
+        self._read_bytes = 0
+        self._last_at = loop.now()
+        loop.watch(item, self._on_ready)
+        self._check()
+
+    def _check(self) -> None:
+        if self._socket is None:
+            return
+        if self._loop.now() - self._last_at > IDLE_S:
+            self.close()
+            return
+        self._loop.after(IDLE_S, self._check)
+
+    def on_url(self, url: bytes) -> None:
+        self._path += url
+
+    def on_message_complete(self) -> None:
+        page = self._server.page(self._path.decode('latin-1'))
+        self._path = b''
+        self._read_bytes = 0
+        body = page.body.encode()
+        head = (
+            f'HTTP/1.1 {page.status} {_PHRASES.get(page.status, "Status")}\r\n'
+            f'Content-Type: {page.content_type}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        # Short answers fit into the socket's buffer; a caller that doesn't
+        # read gets a cut answer and is closed, not waited for.
+        sent = self._socket.send(head.encode() + body)
+        if sent < len(head) + len(body):
+            self.close()
+
+    def _on_ready(self, _: int) -> None:
+        try:
+            part = self._socket.recv(READ_BYTES)
+            self._last_at = self._loop.now()
+            self._read_bytes += len(part)
+            if not part or self._read_bytes > MAX_REQUEST_BYTES:
+                self.close()
+                return
+            self._parser.feed_data(part)
+        except BlockingIOError:
+            return
+        except (OSError, httptools.HttpParserError):
+            self.close()
+
+    def close(self) -> None:
+        if self._socket is None:
+            return
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+        self._socket = None
+        self._server.forget(self)
+
+
+class PageServer:
+    """Answer GET requests with pages made at each request."""
+
+    def __init__(
+        self,
+        loop: reactor.Reactor,
+        pages: dict[str, typing.Callable[[], Page]],
+    ) -> None:
+        """Prepare; nothing is served before :meth:`start`.
+
+        :param pages: by path.
+        """
+        self._loop = loop
+        self._pages = pages
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._connections: set[_Connection] = set()
+
+    def start(self, address: flow.Endpoint) -> None:
+        """Serve.
+
+        :raises OSError: if the address can't be had.
+        """
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(tuple(address))
+        self._socket.listen(BACKLOG)
+        self._loop.watch(self._socket, self._on_connection)
+
+    def close(self) -> None:
+        """Stop serving."""
+        for connection in list(self._connections):
+            connection.close()
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+
+    def page(self, path: str) -> Page:
+        """Return the page at a path."""
+        make = self._pages.get(path.partition('?')[0])
+        if make is None:
+            return Page(404, 'text/plain', 'no such page\n')
+        return make()
+
+    def forget(self, connection: _Connection) -> None:
+        """Drop a closed connection."""
+        self._connections.discard(connection)
+
+    def _on_connection(self, _: int) -> None:
+        try:
+            item, _address = self._socket.accept()
+        except OSError:
+            # The caller went away between the wake-up and now.
+            return
+        item.setblocking(False)
+        self._connections.add(_Connection(self, self._loop, item))
+
+
+_PHRASES = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -0,0 +1,181 @@
+"""Decide for the process beside a backend server."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from teaseldock.packets import control
+from teaseldock.packets import mesh
+from teaseldock.packets import node
+from teaseldock.packets import reporting
+from teaseldock.packets import tracking
+
+if typing.TYPE_CHECKING:
+    from teaseldock import load
+    from teaseldock.packets import packet
+    from teaseldock.packets import records
+
+#: Seconds between two looks for flows that have ended unseen.
+SWEEP_S = 1.0
+_NO_TOKEN = bytes(4)
+
+
+class Reason(enum.IntEnum):
+    """Why a packet went back to the balancer."""
+
+    NOT_HELD = 0
+    OTHER_SERVICE = 1
+    LEAVING = 2
+    SERVER_GONE = 3
+
+
+class Agent(node.Node):
+    """Pass packets between balancers, one backend server and callers."""
+
+    def __init__(
+        self, *, service: str, port: int, now: float, **options: typing.Any
+    ) -> None:
+        """Start without flows; other options as for :class:`node.Node`.
+
+        :param service: the only service whose packets are taken.
+        :param port: of the backend server on this instance.
+        """
+        super().__init__(is_balancer=False, now=now, **options)
+        self._service = service
+        self._port = port
+        self._tag = control.service_tag(service)
+        self._tracker = tracking.Tracker(now)
+        self._sweep_at = now
+        self._reported: load.Load | None = None
+        self._accepting = True
+
+    @property
+    def tracker(self) -> tracking.Tracker:
+        """Return what packets show of the backend server."""
+        return self._tracker
+
+    @property
+    def quiet(self) -> bool:
+        """Tell whether no request waits for its answer."""
+        return not self._tracker.asked
+
+    @property
+    def own_target(self) -> records.Target | None:
+        """Return the entry of the backend server on this instance."""
+        for target in self._knowledge.of_service(self._service):
+            if target.host == self._host and target.port == self._port:
+                return target
+        return None
+
+    def _heartbeat_interval(self) -> float:
+        current = self._server_load(self._last_tick)
+        if current == self._reported:
+            return mesh.IDLE_INTERVAL_S
+        agents = max(1, len(self._knowledge.targets))
+        return self._mesh.hearing_interval(agents)
+
+    def _server_load(self, now: float) -> load.Load:
+        target = self.own_target
+        slots = target.slots if target else 1
+        current = self._tracker.load(slots, now)
+        if self._leaving or (target is not None and target.draining):
+            current = current._replace(accepting=False)
+        return current
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        super().tick(now)
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_S
+            self._tracker.sweep(now)
+
+    def _tell(self, peers: list[mesh.Peer], now: float) -> None:
+        if not peers:
+            return
+        self._reported = self._server_load(now)
+        if self._reported.accepting != self._accepting:
+            self._accepting = self._reported.accepting
+            self._reporter.note(
+                'takes new flows' if self._accepting else 'takes no new flows',
+                leaving=self._leaving,
+                responsive=self._tracker.responsive(now),
+                **self._flow_inputs,
+            )
+        super()._tell(peers, now)
+
+    def _on_envelope(
+        self, envelope: control.Envelope, host: str, now: float
+    ) -> None:
+        if envelope.kind != control.KIND_PACKET:
+            self._meters.counters['dropped_not_for_agent'] += 1
+            return
+        self._meters.counters['packets_in'] += 1
+        if envelope.tag != self._tag:
+            # The address was given to another service. Without this check a
+            # balancer with the old entry would bring callers to the wrong
+            # service; it would show in the wrong server's log.
+            self._give_back(
+                envelope.body, envelope.tag, host, Reason.OTHER_SERVICE
+            )
+            return
+        item = self._outlet.read_packet(envelope.body)
+        if item.opening and self._refuses_openings():
+            self._give_back(item.raw, self._tag, host, Reason.LEAVING)
+            self._note_given_back(item, host, Reason.LEAVING)
+            return
+        self._tracker.from_caller(item, now)
+        self._outlet.to_server(item, bytes(map(int, host.split('.'))))
+
+    def _refuses_openings(self) -> bool:
+        target = self.own_target
+        return self._leaving or (target is not None and target.draining)
+
+    def _note_given_back(
+        self, item: packet.Packet, host: str, reason: Reason
+    ) -> None:
+        self._meters.counters[f'given_back_{reason.name.lower()}'] += 1
+        self._reporter.note(
+            'given back',
+            flow=reporting.flow_text(item.flow),
+            opening=item.opening,
+            to=host,
+            why=reason.name.lower(),
+            flows=self._tracker.flows,
+            **self._flow_inputs,
+        )
+
+    def _give_back(
+        self, raw: bytes, tag: int, host: str, reason: Reason
+    ) -> None:
+        self._outlet.to_process(
+            host, control.pack(control.KIND_RETURNED, reason, tag, raw)
+        )
+
+    def on_server_packet(self, item: packet.Packet, now: float) -> None:
+        """Handle a packet that the backend server sent."""
+        if item.returned:
+            self._on_returned(item)
+            return
+        self._meters.counters['packets_out'] += 1
+        taken_s = self._tracker.from_server(item, now)
+        if taken_s is not None:
+            self._meters.time('request', taken_s * 1000)
+        self._outlet.to_caller(item)
+
+    def _on_returned(self, item: packet.Packet) -> None:
+        self._tracker.returned(item.flow)
+        host = '.'.join(map(str, item.token))
+        if item.token == _NO_TOKEN:
+            self._meters.counters['dropped_returned'] += 1
+            return
+        self._note_given_back(item, host, Reason.NOT_HELD)
+        self._give_back(
+            self._outlet.original(item), self._tag, host, Reason.NOT_HELD
+        )
+
+    def on_server_gone(self, now: float) -> None:
+        """Note that the backend server's port is closed."""
+        if self._tracker.server_refuses():
+            self._reporter.note('server gone', **self._flow_inputs)
+            self._tell(self._mesh.balancers(), now)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -0,0 +1,315 @@
+"""Decide for a balancer where each packet of a caller goes."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+
+from teaseldock import flow as flows
+from teaseldock.packets import control
+from teaseldock.packets import mesh
+from teaseldock.packets import node
+from teaseldock.packets import placing
+from teaseldock.packets import reporting
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import packet
+    from teaseldock.packets import records
+
+#: Flows of which a balancer remembers where they are; about 500 bytes each.
+FLOWS_REMEMBERED = 40_000
+#: Seconds between two heartbeats of a balancer.
+HEARTBEAT_INTERVAL_S = mesh.BALANCER_INTERVAL_S
+_SHARE_KEY = b'teaseldock-share'
+
+
+class Place(enum.Enum):
+    """What a balancer believes of a flow."""
+
+    OPENING = 'opening'
+    HINTED = 'hinted'
+    LOST = 'lost'
+
+
+class Entry:
+    """Where a balancer sends the packets of one flow."""
+
+    __slots__ = ('target', 'tried', 'denied', 'place', 'service', 'seen_at')
+
+    def __init__(self, service: str, place: Place, now: float) -> None:
+        """Start without a target."""
+        self.target: records.Target | None = None
+        # Hosts that an opening was sent to, in vain so far.
+        self.tried: list[str] = []
+        # Hosts whose backend server returned a packet of the flow.
+        self.denied: set[str] = set()
+        self.place = place
+        self.service = service
+        self.seen_at = now
+
+
+class Balancer(node.Node):
+    """Place new flows, and find flows that another balancer has placed.
+
+    What a balancer remembers of a flow is a hint. The truth lies with the
+    backend servers: one that doesn't hold a flow returns its packets, and the
+    balancer then tries the next in the flow's rank.
+    """
+
+    def __init__(self, **options: typing.Any) -> None:
+        """Start without any flow; options as for :class:`node.Node`."""
+        super().__init__(is_balancer=True, **options)
+        self._flows: collections.OrderedDict[bytes, Entry] = (
+            collections.OrderedDict()
+        )
+        self._placed: dict[str, collections.deque[float]] = {}
+        self._first_seen: dict[str, float] = {}
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the fabric should send packets here."""
+        return self._knowledge.usable and not self._leaving
+
+    @property
+    def flows_remembered(self) -> int:
+        """Return of how many flows the place is remembered."""
+        return len(self._flows)
+
+    def _heartbeat_interval(self) -> float:
+        return HEARTBEAT_INTERVAL_S
+
+    def _on_knowledge(self, now: float) -> None:
+        known = self._knowledge.targets
+        for identifier in known:
+            self._first_seen.setdefault(identifier, now)
+        for identifier in list(self._first_seen):
+            if identifier not in known:
+                del self._first_seen[identifier]
+                self._placed.pop(identifier, None)
+
+    def on_packet(self, item: packet.Packet, now: float) -> None:
+        """Handle a caller's packet from the fabric."""
+        self._meters.counters['packets'] += 1
+        route = self._knowledge.route(flows.service_of(item.flow))
+        if item.opening:
+            self._open(item, route, now)
+            return
+        entry = self._flows.get(item.flow)
+        if entry is None:
+            if route is None:
+                self._meters.counters['dropped_no_route'] += 1
+                return
+            entry = self._remember(
+                item.flow, self._service_of(route, item.flow), now
+            )
+            entry.place = Place.HINTED
+            self._meters.counters['searches'] += 1
+            self._advance(item.flow, entry, now)
+        entry.seen_at = now
+        self._forward(item, entry, now)
+
+    def _remember(self, flow: bytes, service: str, now: float) -> Entry:
+        entry = Entry(service, Place.OPENING, now)
+        self._flows[flow] = entry
+        self._flows.move_to_end(flow)
+        if len(self._flows) > FLOWS_REMEMBERED:
+            self._flows.popitem(last=False)
+        return entry
+
+    def _service_of(self, route: records.Route, flow: bytes) -> str:
+        """Return the service of a flow; the same at every balancer."""
+        if len(route.choices) == 1:
+            return route.choices[0].service
+        total = sum(choice.weight for choice in route.choices)
+        point = flows.bucket_of(flow, key=_SHARE_KEY) * total / 256
+        for choice in route.choices:
+            point -= choice.weight
+            if point < 0:
+                return choice.service
+        return route.choices[-1].service
+
+    def _open(
+        self, item: packet.Packet, route: records.Route | None, now: float
+    ) -> None:
+        if route is None:
+            self._refuse(item, 'no route', now)
+            return
+        entry = self._flows.get(item.flow)
+        if entry is None or entry.place is not Place.OPENING:
+            service = self._service_of(route, item.flow)
+            entry = self._remember(item.flow, service, now)
+        elif item.acknowledged and entry.target is not None:
+            # A copy comes when nothing has answered for 200 ms: the server is
+            # silent or gone, or a packet was lost. Asking another one costs
+            # nothing, since the caller takes one answer; waiting for a silent
+            # one costs the whole attempt.
+            entry.tried.append(entry.target.host)
+        self._place(item, entry, now)
+
+    def _place(self, item: packet.Packet, entry: Entry, now: float) -> None:
+        candidates = self._candidates(entry, now)
+        chosen = placing.choose(
+            item.flow, candidates, data_centre=self._data_centre
+        )
+        if chosen is None:
+            self._refuse(item, 'no target', now)
+            return
+        entry.target = chosen.target
+        placed = self._placed.setdefault(
+            chosen.target.identifier, collections.deque(maxlen=64)
+        )
+        placed.append(now)
+        self._meters.counters['placed'] += 1
+        self._reporter.note(
+            'placed',
+            flow=reporting.flow_text(item.flow),
+            copy=item.acknowledged,
+            target=chosen.target.identifier,
+            host=chosen.target.host,
+            load=chosen.load,
+            load_age_ms=round(chosen.age_s * 1000),
+            candidates=len(candidates),
+            **self._flow_inputs,
+        )
+        self._forward(item, entry, now)
+
+    def _refuse(self, item: packet.Packet, why: str, now: float) -> None:
+        self._meters.counters['refused'] += 1
+        self._flows.pop(item.flow, None)
+        self._reporter.note(
+            'refused',
+            flow=reporting.flow_text(item.flow),
+            why=why,
+            **self._flow_inputs,
+        )
+        self._outlet.reset_caller(item)
+
+    def _candidates(self, entry: Entry, now: float) -> list[placing.Candidate]:
+        """Return the targets that may get a new flow."""
+        usable = [
+            self._candidate(target, now)
+            for target in self._placeable(entry.service, now)
+            if target.host not in entry.tried
+            and target.host not in entry.denied
+        ]
+        heard = [
+            item for item in usable if item.load is None or item.load.accepting
+        ]
+        return heard or usable
+
+    def _placeable(self, service: str, now: float) -> list[records.Target]:
+        targets = [
+            target
+            for target in self._knowledge.of_service(service)
+            if not target.draining
+        ]
+        alive = [
+            target for target in targets if not self._is_silent(target, now)
+        ]
+        return alive or targets
+
+    def _is_silent(self, target: records.Target, now: float) -> bool:
+        peer = self._mesh.peers.get(target.host)
+        return peer is None or peer.leaving or peer.silent(now)
+
+    def _candidate(
+        self, target: records.Target, now: float
+    ) -> placing.Candidate:
+        peer = self._mesh.peers.get(target.host)
+        heartbeat = peer.heartbeat if peer else None
+        reported_at = now
+        if peer is not None and peer.heard_at is not None:
+            reported_at = peer.heard_at
+        placed = self._placed.get(target.identifier, ())
+        shown = reported_at - placing.UNREPORTED_S
+        first_seen = self._first_seen.get(target.identifier, now)
+        return placing.Candidate(
+            target,
+            heartbeat.server_load if heartbeat else None,
+            now - reported_at,
+            sum(1 for at in placed if at > shown),
+            (now - first_seen) * 1000 < target.warmup_ms,
+        )
+
+    def _forward(self, item: packet.Packet, entry: Entry, now: float) -> None:
+        if entry.target is None:
+            self._meters.counters['dropped_no_target'] += 1
+            return
+        self._outlet.to_process(
+            entry.target.host,
+            control.pack(
+                control.KIND_PACKET,
+                0,
+                control.service_tag(entry.service),
+                item.raw,
+            ),
+        )
+
+    def _holders(
+        self, flow: bytes, entry: Entry, now: float
+    ) -> list[records.Target]:
+        """Return the targets that may hold a flow, the likeliest first."""
+        targets = list(self._knowledge.of_service(entry.service))
+        targets.sort(key=lambda target: placing.rank(flow, target))
+        targets.sort(key=lambda target: target.host not in entry.tried)
+        # A target without an entry and without an agent is gone for good.
+        targets += [
+            item.target
+            for item in self._knowledge.vanished_of(entry.service, now)
+            if not self._is_silent(item.target, now)
+        ]
+        return [item for item in targets if item.host not in entry.denied]
+
+    def _advance(self, flow: bytes, entry: Entry, now: float) -> None:
+        """Point an entry to the next target that may hold the flow."""
+        left = self._holders(flow, entry, now)
+        heard = [item for item in left if not self._is_silent(item, now)]
+        ordered = heard or left
+        entry.target = ordered[0] if ordered else None
+
+    def _on_envelope(
+        self, envelope: control.Envelope, host: str, now: float
+    ) -> None:
+        if envelope.kind != control.KIND_RETURNED:
+            self._meters.counters['dropped_not_for_balancer'] += 1
+            return
+        item = self._outlet.read_packet(envelope.body)
+        if item.opening:
+            self._reopen(item, host, now)
+            return
+        self._search_on(item, host, now)
+
+    def _reopen(self, item: packet.Packet, host: str, now: float) -> None:
+        """Place a flow anew whose target did not take it."""
+        entry = self._flows.get(item.flow)
+        if entry is None or entry.target is None:
+            self._meters.counters['dropped_returned'] += 1
+            return
+        entry.denied.add(host)
+        self._place(item, entry, now)
+
+    def _search_on(self, item: packet.Packet, host: str, now: float) -> None:
+        """Try the next target for a packet of a flow that was not there."""
+        entry = self._flows.get(item.flow)
+        if entry is None:
+            self._meters.counters['dropped_returned'] += 1
+            return
+        entry.denied.add(host)
+        if entry.target is not None and entry.target.host == host:
+            entry.place = Place.HINTED
+            self._advance(item.flow, entry, now)
+        if entry.target is not None:
+            self._forward(item, entry, now)
+            return
+        if entry.place is not Place.LOST:
+            entry.place = Place.LOST
+            self._meters.counters['flows_lost'] += 1
+            self._reporter.note(
+                'flow lost',
+                flow=reporting.flow_text(item.flow),
+                asked=len(entry.denied),
+                **self._flow_inputs,
+            )
+        if not item.resetting:
+            self._outlet.reset_caller(item)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -0,0 +1,186 @@
+"""Messages between the system's processes, and their encoding.
+
+MessagePack by msgspec: it checks types while it reads, and costs 2 MB of
+memory; the library for thrift that the request family uses costs 13 MB, more
+than the rest of an agent.
+"""
+
+from __future__ import annotations
+
+import struct
+import typing
+import zlib
+
+import msgspec
+
+from teaseldock import exceptions
+from teaseldock import load
+from teaseldock.packets import records
+
+#: First byte of every datagram between processes.
+_MAGIC = 0x54
+#: Magic, kind, detail and service tag.
+_HEAD = struct.Struct('>BBHI')
+#: A caller's packet, to be given to the backend server.
+KIND_PACKET = 1
+#: A caller's packet that the backend server did not take.
+KIND_RETURNED = 2
+#: A heartbeat.
+KIND_HEARTBEAT = 3
+#: A part of changes to what is known.
+KIND_CHANGES = 4
+#: Bytes of changes in one datagram, below the usual MTU with all headers.
+FRAGMENT_BYTES = 1200
+#: Index and count of a fragment, and a number for all of one transfer.
+_FRAGMENT = struct.Struct('>HHI')
+
+
+class Heartbeat(typing.NamedTuple):
+    """What a process says of itself.
+
+    :ivar host: IPv4 address of its instance.
+    :ivar is_balancer: whether it is a balancer; an agent otherwise.
+    :ivar started: tells its runs apart: steady seconds at its start.
+    :ivar leaving: whether it is about to stop.
+    :ivar revision: up to which it knows the store.
+    :ivar confirmed_ms: age of the newest answer of the store that it knows
+        of, its own or a peer's.
+    :ivar store_failing: whether its own calls to the store fail.
+    :ivar server_load: load of its backend server, None for a balancer.
+    :ivar balancers: hosts of balancers that it has heard of.
+    """
+
+    host: str
+    is_balancer: bool
+    started: int
+    leaving: bool
+    revision: int
+    confirmed_ms: int
+    store_failing: bool
+    server_load: load.Load | None
+    balancers: list[str]
+
+
+class Envelope(typing.NamedTuple):
+    """One datagram between processes, its head decoded.
+
+    :ivar kind: one of the kinds of this module.
+    :ivar detail: for a returned packet, a :class:`Reason`.
+    :ivar tag: of the service, see :func:`service_tag`.
+    :ivar body: what follows the head.
+    """
+
+    kind: int
+    detail: int
+    tag: int
+    body: bytes
+
+
+def service_tag(service: str) -> int:
+    """Return the 32-bit number that stands for a service."""
+    return zlib.crc32(service.encode())
+
+
+def pack(kind: int, detail: int, tag: int, body: bytes) -> bytes:
+    """Return a datagram."""
+    return _HEAD.pack(_MAGIC, kind, detail, tag) + body
+
+
+def unpack(datagram: bytes) -> Envelope:
+    """Read the head of a datagram.
+
+    :raises MessageError: if it is none of the system's own.
+    """
+    if len(datagram) < _HEAD.size or datagram[0] != _MAGIC:
+        raise exceptions.MessageError(
+            'internal port',
+            f'{len(datagram)} bytes that no process of ours sent',
+            remedy='find the sender; the datagram was dropped',
+        )
+    _, kind, detail, tag = _HEAD.unpack_from(datagram)
+    return Envelope(kind, detail, tag, datagram[_HEAD.size :])
+
+
+_HEARTBEATS = msgspec.msgpack.Decoder(Heartbeat)
+_CHANGES = msgspec.msgpack.Decoder(records.Changes)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def pack_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return a heartbeat as a datagram."""
+    return pack(KIND_HEARTBEAT, 0, 0, _ENCODER.encode(heartbeat))
+
+
+def _undecodable(place: str, error: Exception) -> exceptions.MessageError:
+    return exceptions.MessageError(
+        place,
+        str(error),
+        remedy='run one version on all processes; the message was dropped',
+    )
+
+
+def read_heartbeat(body: bytes) -> Heartbeat:
+    """Read a heartbeat.
+
+    :raises MessageError: if the bytes are none.
+    """
+    try:
+        return _HEARTBEATS.decode(body)
+    except msgspec.MsgspecError as error:
+        raise _undecodable('heartbeat', error) from error
+
+
+def pack_changes(changes: records.Changes) -> list[bytes]:
+    """Return changes as datagrams, each a fragment."""
+    packed = zlib.compress(_ENCODER.encode(changes), 1)
+    number = zlib.crc32(packed)
+    parts = [
+        packed[start : start + FRAGMENT_BYTES]
+        for start in range(0, len(packed), FRAGMENT_BYTES)
+    ]
+    return [
+        pack(
+            KIND_CHANGES,
+            0,
+            0,
+            _FRAGMENT.pack(index, len(parts), number) + part,
+        )
+        for index, part in enumerate(parts)
+    ]
+
+
+class Assembler:
+    """Put the fragments of one sender's changes together."""
+
+    def __init__(self) -> None:
+        """Start with no fragment."""
+        self._number = 0
+        self._parts: dict[int, bytes] = {}
+
+    def add(self, body: bytes) -> records.Changes | None:
+        """Take one fragment; return the changes with the last one.
+
+        A transfer that loses a fragment is given up for the next one: the
+        sender starts again when our heartbeat still shows the old revision.
+
+        :raises MessageError: if the fragments hold no changes.
+        """
+        try:
+            index, count, number = _FRAGMENT.unpack_from(body)
+            if number != self._number:
+                self._number = number
+                self._parts = {}
+            self._parts[index] = body[_FRAGMENT.size :]
+            if len(self._parts) < count:
+                return None
+            packed = b''.join(self._parts[i] for i in range(count))
+            self._parts = {}
+            return _CHANGES.decode(zlib.decompress(packed))
+        except (
+            struct.error,
+            zlib.error,
+            KeyError,
+            msgspec.MsgspecError,
+        ) as error:
+            self._parts = {}
+            raise _undecodable('changes', error) from error
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -0,0 +1,211 @@
+"""Keep what the store published, by revision, and tell peers what they lack.
+
+All processes hold the same entries under the store's one revision counter.
+Whoever has a higher revision sends the difference, so that few processes
+need to read the store.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from teaseldock.packets import records
+
+#: Removals remembered for peers that lag; a peer that lags further gets all
+#: entries. Ten times the largest fleet of targets that one process serves.
+REMOVALS_KEPT = 600
+#: Seconds for which an entry that vanished without a drain stays usable while
+#: its agent still hears the server. Entries lapse while the store is away
+#: and are written again within about two seconds of its return.
+LAPSE_GRACE_S = 2.0
+#: Seconds for which a vanished target may still hold flows.
+VANISHED_KEPT_S = 20.0
+
+
+class Vanished(typing.NamedTuple):
+    """A target whose entry was removed.
+
+    :ivar target: its last entry.
+    :ivar at: when the removal became known here, seconds.
+    """
+
+    target: records.Target
+    at: float
+
+
+class Knowledge:
+    """Targets and configuration up to one revision of the store."""
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self._targets: dict[str, records.Target] = {}
+        self._services: dict[str, list[records.Target]] = {}
+        self._removals: collections.deque[records.Removal] = collections.deque(
+            maxlen=REMOVALS_KEPT
+        )
+        self._vanished: dict[str, Vanished] = {}
+        self._configuration: records.Configuration | None = None
+        self._routes: dict[bytes, records.Route] = {}
+        self._revision = 0
+        self._content_revision = 0
+        self._removals_since = 0
+        self._changed_at = 0.0
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which everything is known."""
+        return self._revision
+
+    @property
+    def content_revision(self) -> int:
+        """Return the revision of the newest change that is known.
+
+        The store counts on while nothing that concerns us changes; comparing
+        this number keeps processes from sending each other nothing.
+        """
+        return self._content_revision
+
+    @property
+    def changed_at(self) -> float:
+        """Return when the last change was taken over, seconds."""
+        return self._changed_at
+
+    @property
+    def configuration(self) -> records.Configuration | None:
+        """Return the newest configuration, or None before the first."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """Return the configuration's version, 0 before the first."""
+        return self._configuration.version if self._configuration else 0
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether packets can be served."""
+        return self._configuration is not None
+
+    @property
+    def targets(self) -> dict[str, records.Target]:
+        """Return the registered targets by identifier."""
+        return self._targets
+
+    def route(self, address: bytes) -> records.Route | None:
+        """Return the route of a packed address and port, or None."""
+        return self._routes.get(address)
+
+    def of_service(self, service: str) -> list[records.Target]:
+        """Return the registered targets of a service."""
+        return self._services.get(service, [])
+
+    def vanished_of(self, service: str, now: float) -> list[Vanished]:
+        """Return targets of a service that vanished a short while ago."""
+        return [
+            item
+            for item in self._vanished.values()
+            if item.target.service == service
+            and now - item.at < VANISHED_KEPT_S
+        ]
+
+    def apply(self, changes: records.Changes, now: float) -> bool:
+        """Take over changes; tell whether anything was new.
+
+        Each entry is compared by its own revision. Messages overtake each
+        other, and a read of a lagging replica returns old entries; taking
+        those over would bring a drained target or a dropped route back.
+        """
+        if changes.since > self._revision:
+            # Changes in between are missing; the sender will learn our
+            # revision from the next heartbeat and send them.
+            return False
+        complete = changes.since == 0 and changes.upto >= self._revision
+        fresh = self._apply_configuration(changes.configuration)
+        for target in changes.targets:
+            fresh = self._put(target, complete) or fresh
+        for removal in changes.removals:
+            fresh = self._remove(removal, now) or fresh
+        if complete:
+            fresh = self._drop_unlisted(changes, now) or fresh
+            self._removals_since = changes.upto
+        self._revision = max(self._revision, changes.upto)
+        if fresh:
+            self._rebuild(now)
+        return fresh
+
+    def _apply_configuration(
+        self, configuration: records.Configuration | None
+    ) -> bool:
+        if configuration is None or configuration.version <= self.version:
+            return False
+        self._configuration = configuration
+        self._note_revision(configuration.revision)
+        self._routes = {route.address: route for route in configuration.routes}
+        return True
+
+    def _put(self, target: records.Target, complete: bool) -> bool:
+        known = self._targets.get(target.identifier)
+        if known is not None and known.revision >= target.revision:
+            return False
+        removed = target.revision <= self._revision and not complete
+        if known is None and removed:
+            # All entries up to our revision are known here: it has been
+            # removed since, and whoever sent it had not heard of that yet.
+            return False
+        self._targets[target.identifier] = target
+        self._note_revision(target.revision)
+        self._vanished.pop(target.identifier, None)
+        return True
+
+    def _remove(self, removal: records.Removal, now: float) -> bool:
+        known = self._targets.get(removal.identifier)
+        if known is None or known.revision >= removal.revision:
+            return False
+        del self._targets[removal.identifier]
+        self._removals.append(removal)
+        self._note_revision(removal.revision)
+        self._vanished[removal.identifier] = Vanished(known, now)
+        return True
+
+    def _note_revision(self, revision: int) -> None:
+        self._content_revision = max(self._content_revision, revision)
+
+    def _drop_unlisted(self, changes: records.Changes, now: float) -> bool:
+        listed = {target.identifier for target in changes.targets}
+        gone = [name for name in self._targets if name not in listed]
+        fresh = False
+        for name in gone:
+            fresh = (
+                self._remove(records.Removal(name, changes.upto), now) or fresh
+            )
+        return fresh
+
+    def _rebuild(self, now: float) -> None:
+        self._changed_at = now
+        services: dict[str, list[records.Target]] = {}
+        for target in self._targets.values():
+            services.setdefault(target.service, []).append(target)
+        self._services = services
+        self._vanished = {
+            name: item
+            for name, item in self._vanished.items()
+            if now - item.at < VANISHED_KEPT_S
+        }
+
+    def changes_since(self, revision: int) -> records.Changes:
+        """Return what a peer at a revision lacks."""
+        oldest = self._removals_since
+        if len(self._removals) == REMOVALS_KEPT:
+            oldest = max(oldest, self._removals[0].revision)
+        if revision < oldest:
+            revision = 0
+        configuration = self._configuration
+        if configuration and 0 < revision >= configuration.revision:
+            configuration = None
+        return records.Changes(
+            revision,
+            max(self._revision, self._content_revision),
+            [t for t in self._targets.values() if t.revision > revision],
+            [r for r in self._removals if r.revision > revision],
+            configuration,
+        )
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -0,0 +1,359 @@
+"""Do what balancers and agents share: know the store and each other."""
+
+from __future__ import annotations
+
+import abc
+import random
+import typing
+
+from teaseldock import exceptions
+from teaseldock.packets import control
+from teaseldock.packets import knowledge
+from teaseldock.packets import mesh
+from teaseldock.packets import reading
+from teaseldock.packets import reporting
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import packet
+    from teaseldock.packets import records
+
+#: Seconds after which a process that has changes from a peer sends them to
+#: whoever still lacks them. Who read them from the store sends them to all at
+#: once; if everybody did so, each change would cost the square of the fleet.
+SPREAD_AFTER_S = 0.5
+#: A gap between two ticks beyond this is a pause of this process, seconds.
+PAUSE_S = 1.0
+#: Seconds for which a process that was paused trusts nothing it knew, unless
+#: a peer or the store has answered before.
+DISTRUST_S = 1.0
+#: Where changes came from, if not from a process.
+SOURCE_STORE = 'store'
+
+
+class Outlet(abc.ABC):
+    """Carries out what the decisions want to be sent."""
+
+    @abc.abstractmethod
+    def to_process(self, host: str, datagram: bytes) -> None:
+        """Send to the internal port of a process of the system."""
+
+    @abc.abstractmethod
+    def to_caller(self, item: packet.Packet) -> None:
+        """Send a packet to the caller of its flow."""
+
+    @abc.abstractmethod
+    def to_server(self, item: packet.Packet, token: bytes) -> None:
+        """Give a packet to the backend server beside this process.
+
+        :param token: four bytes that come back with a returned packet.
+        """
+
+    @abc.abstractmethod
+    def reset_caller(self, item: packet.Packet) -> None:
+        """Reset a flow towards its caller.
+
+        :param item: the caller's packet that is answered so.
+        """
+
+    @abc.abstractmethod
+    def read_packet(self, raw: bytes) -> packet.Packet:
+        """Decode a packet that another process passed on.
+
+        :raises MessageError: if the bytes are no packet.
+        """
+
+    @abc.abstractmethod
+    def original(self, item: packet.Packet) -> bytes:
+        """Return a returned packet as its caller sent it."""
+
+    @abc.abstractmethod
+    def read_all(self) -> None:
+        """Read all entries of the store; ends in a call of the node."""
+
+    @abc.abstractmethod
+    def watch(self, revision: int) -> None:
+        """Wait for changes of the store after a revision."""
+
+
+class Node(abc.ABC):
+    """Spread knowledge, and see who is alive."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        data_centre: str,
+        seeds: list[str],
+        is_balancer: bool,
+        outlet: Outlet,
+        reporter: reporting.Reporter,
+        randomness: random.Random,
+        now: float,
+    ) -> None:
+        """Start knowing the seeds.
+
+        :param host: own IPv4 address.
+        :param seeds: hosts of balancers.
+        :param now: seconds on a clock that never goes back.
+        """
+        self._host = host
+        self._data_centre = data_centre
+        self._is_balancer = is_balancer
+        self._outlet = outlet
+        self._reporter = reporter
+        self._random = randomness
+        self._meters = reporting.Meters()
+        self._knowledge = knowledge.Knowledge()
+        self._mesh = mesh.Mesh(
+            host, is_balancer=is_balancer, seeds=seeds, now=now
+        )
+        self._reading = reading.Reading(randomness)
+        self._leaving = False
+        self._started = int(now * 1000)
+        self._last_tick = now
+        self._distrust_until = 0.0
+
+    @property
+    def meters(self) -> reporting.Meters:
+        """Return counters and histograms."""
+        return self._meters
+
+    @property
+    def knowledge(self) -> knowledge.Knowledge:
+        """Return what is known of the store."""
+        return self._knowledge
+
+    @property
+    def mesh(self) -> mesh.Mesh:
+        """Return what is known of other processes."""
+        return self._mesh
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether this process is about to stop."""
+        return self._leaving
+
+    @property
+    def _flow_inputs(self) -> dict[str, typing.Any]:
+        """Return the versions by which packets are decided now."""
+        return {
+            'version': self._knowledge.version,
+            'revision': self._knowledge.content_revision,
+        }
+
+    @abc.abstractmethod
+    def _heartbeat_interval(self) -> float:
+        """Return seconds between two heartbeats to one process."""
+
+    @abc.abstractmethod
+    def _on_envelope(
+        self, envelope: control.Envelope, host: str, now: float
+    ) -> None:
+        """Handle a datagram with a caller's packet."""
+
+    def _on_knowledge(self, now: float) -> None:
+        """Take over changed knowledge."""
+
+    def _on_heartbeat(self, peer: mesh.Peer, now: float) -> None:
+        """Take over a heartbeat."""
+
+    def _server_load(self, now: float) -> typing.Any:
+        """Return the load of this process's backend server, if it has one."""
+        return None
+
+    def leave(self, now: float) -> None:
+        """Begin a graceful stop; a second call changes nothing."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._reporter.note('leaving', **self._flow_inputs)
+        self._tell(list(self._mesh.peers.values()), now)
+
+    def tick(self, now: float) -> None:
+        """Do what is due; to be called some 20 times a second."""
+        if now - self._last_tick > PAUSE_S:
+            self._on_pause(now)
+        self._last_tick = now
+        self._tell(
+            self._mesh.due(now, interval_s=self._heartbeat_interval()), now
+        )
+        self._spread(now)
+        self.read_if_due(now)
+
+    def _on_pause(self, now: float) -> None:
+        # After a pause everybody looks silent and all knowledge may be old.
+        # Acting on it at once would send new flows to servers that left.
+        pause_s = round(now - self._last_tick, 3)
+        self._meters.counters['pauses'] += 1
+        self._reporter.note('paused', seconds=pause_s, **self._flow_inputs)
+        self._distrust_until = now + DISTRUST_S
+        for peer in self._mesh.peers.values():
+            if peer.heard_at is not None:
+                peer.heard_at = max(peer.heard_at, now - mesh.BUSY_INTERVAL_S)
+
+    def read_if_due(self, now: float) -> None:
+        """Call the store if this process should and no call is under way."""
+        if self._reading.calling:
+            return
+        if not self._mesh.reads(now, leaving=self._leaving):
+            return
+        step = self._reading.next_step(self._knowledge.revision, now)
+        if step is None:
+            return
+        self._meters.counters['store_calls'] += 1
+        if step is reading.Step.READ_ALL:
+            self._outlet.read_all()
+        else:
+            self._outlet.watch(self._knowledge.revision)
+
+    def store_answered(self, changes: records.Changes, now: float) -> None:
+        """Take the answer of a call to the store."""
+        if self._mesh.store_answered(now):
+            self._reporter.note('store regained', **self._flow_inputs)
+        self._distrust_until = 0.0
+        changed = self._take(changes, SOURCE_STORE, now)
+        self._reading.succeeded(now, changed=changed)
+        self.read_if_due(now)
+
+    def store_lost_history(self, now: float) -> None:
+        """Note that a watch can't go on from our revision."""
+        self._reporter.note('store history lost', **self._flow_inputs)
+        self._reading.history_lost(now)
+        self.read_if_due(now)
+
+    def store_failed(self, problem: str, now: float) -> None:
+        """Note a call to the store without a usable answer."""
+        self._meters.counters['store_failures'] += 1
+        if self._mesh.store_failed():
+            self._reporter.note(
+                'store lost', problem=problem, **self._flow_inputs
+            )
+        self._reading.failed(now)
+
+    def entry_refused(self, problem: str) -> None:
+        """Note an entry of the store that could not be read."""
+        self._meters.counters['entries_refused'] += 1
+        self._reporter.note('entry refused', problem=problem)
+
+    def _take(self, changes: records.Changes, source: str, now: float) -> bool:
+        before = self._knowledge.version
+        revision = self._knowledge.content_revision
+        if not self._knowledge.apply(changes, now):
+            return False
+        self._reporter.note(
+            'changes in force',
+            source=source,
+            before=revision,
+            revision=self._knowledge.content_revision,
+            version=self._knowledge.version,
+            new_version=self._knowledge.version != before,
+            targets=len(self._knowledge.targets),
+            entries=len(changes.targets),
+            removals=len(changes.removals),
+        )
+        hosts = {item.host for item in self._knowledge.targets.values()}
+        if self._is_balancer:
+            self._mesh.learn_agents(hosts, now)
+        self._on_knowledge(now)
+        if source == SOURCE_STORE:
+            self._send_changes(
+                self._mesh.lagging(self._knowledge.content_revision, now), now
+            )
+        return True
+
+    def _spread(self, now: float) -> None:
+        if now - self._knowledge.changed_at < SPREAD_AFTER_S:
+            return
+        self._send_changes(
+            self._mesh.lagging(self._knowledge.content_revision, now), now
+        )
+
+    def _send_changes(self, peers: list[mesh.Peer], now: float) -> None:
+        packed: dict[int, list[bytes]] = {}
+        for peer in peers:
+            since = peer.revision
+            if since not in packed:
+                packed[since] = control.pack_changes(
+                    self._knowledge.changes_since(since)
+                )
+            peer.sent_at = now
+            peer.sent_upto = self._knowledge.content_revision
+            for datagram in packed[since]:
+                self._send(peer.host, datagram)
+
+    def _send(self, host: str, datagram: bytes) -> None:
+        self._meters.counters['control_bytes_sent'] += len(datagram)
+        self._outlet.to_process(host, datagram)
+
+    def _tell(self, peers: list[mesh.Peer], now: float) -> None:
+        if not peers:
+            return
+        heartbeat = control.Heartbeat(
+            self._host,
+            self._is_balancer,
+            self._started,
+            self._leaving,
+            self._knowledge.content_revision,
+            self._mesh.confirmed_ms(now),
+            self._mesh.store_failing,
+            self._server_load(now),
+            self._mesh.named_balancers(now),
+        )
+        datagram = control.pack_heartbeat(heartbeat)
+        for peer in peers:
+            peer.told_at = now
+            self._send(peer.host, datagram)
+
+    def on_datagram(self, datagram: bytes, host: str, now: float) -> None:
+        """Handle a datagram at the internal port."""
+        try:
+            envelope = control.unpack(datagram)
+            if envelope.kind == control.KIND_HEARTBEAT:
+                self._hear(control.read_heartbeat(envelope.body), host, now)
+            elif envelope.kind == control.KIND_CHANGES:
+                self._on_changes(envelope.body, host, now)
+            else:
+                self._on_envelope(envelope, host, now)
+        except exceptions.TeaseldockError as error:
+            self._meters.counters[f'dropped_{error.code}'] += 1
+            self._reporter.note('datagram dropped', host=host, why=str(error))
+
+    def _hear(
+        self, heartbeat: control.Heartbeat, host: str, now: float
+    ) -> None:
+        if heartbeat.host != host:
+            raise exceptions.MessageError(
+                'heartbeat',
+                f'of {heartbeat.host} came from {host}',
+                remedy='find the sender; the heartbeat was dropped',
+            )
+        known = self._mesh.peers.get(host)
+        restarted = (
+            known is None
+            or known.heartbeat is None
+            or known.heartbeat.started != heartbeat.started
+        )
+        peer = self._mesh.hear(heartbeat, now)
+        if heartbeat.revision >= self._knowledge.content_revision:
+            self._distrust_until = 0.0
+        if restarted:
+            self._reporter.note(
+                'process heard',
+                host=host,
+                balancer=heartbeat.is_balancer,
+                revision=heartbeat.revision,
+            )
+            if self._is_balancer or heartbeat.is_balancer:
+                self._tell([peer], now)
+            if heartbeat.revision < self._knowledge.content_revision:
+                self._send_changes([peer], now)
+        self._on_heartbeat(peer, now)
+
+    def _on_changes(self, body: bytes, host: str, now: float) -> None:
+        peer = self._mesh.peers.get(host)
+        if peer is None:
+            self._meters.counters['dropped_changes_of_stranger'] += 1
+            return
+        changes = peer.assembler.add(body)
+        if changes is not None:
+            self._take(changes, host, now)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/packet.py
@@ -0,0 +1,33 @@
+"""Describe one packet of a caller's connection, whatever its encoding."""
+
+from __future__ import annotations
+
+import typing
+
+
+class Packet(typing.NamedTuple):
+    """What the decisions read of one packet; the bytes stay as they came.
+
+    :ivar flow: key of the flow, see :func:`teaseldock.flow.flow_key`.
+    :ivar opening: whether it asks to open the flow (SYN without ACK).
+    :ivar accepting: whether it accepts an opening (SYN with ACK).
+    :ivar resetting: whether it resets the flow.
+    :ivar closing: whether its sender sends no more data after it.
+    :ivar returned: whether the backend server sent a caller's packet back.
+    :ivar acknowledged: sequence number up to which its sender has received;
+        for an opening packet, how many copies of it were sent before.
+    :ivar length: bytes of data that it carries.
+    :ivar token: four bytes that a backend server sends back unchanged.
+    :ivar raw: the whole datagram.
+    """
+
+    flow: bytes
+    opening: bool
+    accepting: bool
+    resetting: bool
+    closing: bool
+    returned: bool
+    acknowledged: int
+    length: int
+    token: bytes
+    raw: bytes
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -0,0 +1,103 @@
+"""Choose the target of a new flow.
+
+The load it answers: flows of few requests beside flows that last for minutes,
+on targets that run a few requests at once. A request waits as soon as all
+slots of its target are busy, while another target may be idle; so what counts
+is the number of requests per slot, as fresh as it can be had.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import siphash24
+
+if typing.TYPE_CHECKING:
+    from teaseldock import load
+    from teaseldock.packets import records
+
+#: Candidates of a flow, first in its rank. A flow whose balancer is gone is
+#: found by asking them first; more candidates balance better and take longer
+#: to ask. With all of seven targets free, four are as good as all.
+CANDIDATES = 4
+#: Requests per slot at which the best candidate counts as loaded, and all
+#: targets are looked at: each slot has its request.
+LOADED = 1.0
+#: Weight of the mean load of the last seconds against the present one. Feeds
+#: ask again and again; the present number misses those between two requests.
+MEAN_WEIGHT = 0.5
+#: Requests per slot that a flow to another data centre must save: placing it
+#: at home saves 1 to 3 ms of a request's 30 to 80 ms and traffic between data
+#: centres.
+DISTANCE_COST = 0.1
+#: Requests per slot that a held flow adds: a feed asks about once in two
+#: seconds for some 50 ms.
+FLOW_WEIGHT = 0.025
+#: Share of its slots that a target is worth while it warms up; it then takes
+#: 1.6 times as long.
+WARMING_SHARE = 0.6
+#: Seconds for which a placement counts that no report can show yet: the way
+#: to the agent, its wait for the next report, and the way back.
+UNREPORTED_S = 0.01
+_RANK_KEY = b'teaseldock-rank1'
+
+
+class Candidate(typing.NamedTuple):
+    """A target as a balancer sees it at one moment.
+
+    :ivar target: its registered entry.
+    :ivar load: what its agent reported last, or None.
+    :ivar age_s: age of the report, seconds.
+    :ivar unreported: own placements that the report can't show yet.
+    :ivar warming: whether it has just started.
+    """
+
+    target: records.Target
+    load: load.Load | None
+    age_s: float
+    unreported: int
+    warming: bool
+
+
+def rank(flow: bytes, target: records.Target) -> bytes:
+    """Return the order of a target among those that a flow may be at."""
+    text = flow + f'{target.host}:{target.port}'.encode()
+    return siphash24.siphash24(text, key=_RANK_KEY).digest()
+
+
+def pressure(candidate: Candidate, *, data_centre: str) -> float:
+    """Return requests per slot that a new flow would meet.
+
+    :param data_centre: of the balancer that places it.
+    """
+    target = candidate.target
+    slots = max(1, target.slots) * (WARMING_SHARE if candidate.warming else 1)
+    waiting = float(candidate.unreported)
+    reported = candidate.load
+    if reported is not None:
+        present = reported.running + reported.queued
+        waiting += (1 - MEAN_WEIGHT) * present + MEAN_WEIGHT * reported.work
+        waiting += FLOW_WEIGHT * reported.flows
+    distance = 0.0 if target.data_centre == data_centre else DISTANCE_COST
+    return waiting / slots + distance
+
+
+def choose(
+    flow: bytes, candidates: list[Candidate], *, data_centre: str
+) -> Candidate | None:
+    """Return where a new flow goes, or None if there is no target.
+
+    :param candidates: targets that may get new flows.
+    :param data_centre: of the balancer that places it.
+    """
+    if not candidates:
+        return None
+    ranked = sorted(candidates, key=lambda item: rank(flow, item.target))
+
+    def cost(item: Candidate) -> float:
+        return pressure(item, data_centre=data_centre)
+
+    best = min(ranked[:CANDIDATES], key=cost)
+    if len(ranked) <= CANDIDATES or cost(best) < LOADED:
+        return best
+    return min(ranked, key=cost)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -0,0 +1,115 @@
+"""Hold what the configuration service publishes, in the product's words."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+
+class RequestKind(enum.IntEnum):
+    """What a caller may do after a request without an answer."""
+
+    IDEMPOTENT = 0
+    NON_IDEMPOTENT = 1
+    UPLOAD = 2
+
+
+class ServiceChoice(typing.NamedTuple):
+    """A service that gets a share of a route's new flows.
+
+    :ivar service: its name.
+    :ivar weight: its share, relative to the other choices.
+    """
+
+    service: str
+    weight: int
+
+
+class Route(typing.NamedTuple):
+    """Where new flows to one address go, and what they carry.
+
+    :ivar address: IPv4 address and port, six bytes in network order.
+    :ivar name: the operator's name of the route.
+    :ivar choices: services; mostly one.
+    :ivar kind: a :class:`RequestKind`.
+    :ivar timeout_ms: time after which a caller gives a request up.
+    :ivar aim_ms: latency objective of a request.
+    :ivar priority: 0 is the highest.
+    """
+
+    address: bytes
+    name: str
+    choices: list[ServiceChoice]
+    kind: int
+    timeout_ms: int
+    aim_ms: int
+    priority: int
+
+
+class Configuration(typing.NamedTuple):
+    """One published configuration.
+
+    :ivar version: rises with each publication, not by one.
+    :ivar revision: the store's revision of it.
+    :ivar idle_timeout_ms: idle time after which a flow may be forgotten.
+    :ivar routes: all routes.
+    """
+
+    version: int
+    revision: int
+    idle_timeout_ms: int
+    routes: list[Route]
+
+
+class Target(typing.NamedTuple):
+    """One run of a backend server, as it registered itself.
+
+    :ivar identifier: of this run; a restarted server has another one.
+    :ivar service: the service that it runs.
+    :ivar host: IPv4 address of its instance.
+    :ivar port: port of the server itself.
+    :ivar data_centre: where it runs.
+    :ivar slots: requests that it runs at once.
+    :ivar draining: whether it leaves.
+    :ivar warmup_ms: how long it was to stay slow when this was written.
+    :ivar revision: the store's revision of this entry.
+    """
+
+    identifier: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    draining: bool
+    warmup_ms: int
+    revision: int
+
+
+class Removal(typing.NamedTuple):
+    """An entry that is gone.
+
+    :ivar identifier: of the target.
+    :ivar revision: the store's revision of its removal.
+    """
+
+    identifier: str
+    revision: int
+
+
+class Changes(typing.NamedTuple):
+    """What one process, or the store, knows beyond a revision.
+
+    :ivar since: revision after which all changes are here; 0 when these are
+        all entries there are, so that any other entry is gone.
+    :ivar upto: revision that the receiver knows completely afterwards.
+    :ivar targets: entries written.
+    :ivar removals: entries removed.
+    :ivar configuration: the newest, if it changed.
+    """
+
+    since: int
+    upto: int
+    targets: list[Target]
+    removals: list[Removal]
+    configuration: Configuration | None
