--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import typing
 
 import siphash24
 
