Ask who holds a flow with one packet in place of sending all of them round

A balancer that gets another's flows sent each packet from target to target; an upload of 16 packets crosses its link up to 45 times.

Change: teaseldock.packets.searching. An agent that is younger than its server gives the packet to the server and answers what that shows. A flow is reset only when every holder has said no; silence is no answer.

Ruled out: wrong lists (the target was registered all the time).

--- a/Makefile
+++ b/Makefile
@@ -19,11 +19,11 @@
 	$(BIN)/python -m pytest
 
 lint: $(STAMP)
-	$(BIN)/black -q --check packages tests bench standins examples tools
-	$(BIN)/flake8 packages tests bench standins examples tools
+	$(BIN)/black -q --check packages platform deploy tests bench standins examples tools
+	$(BIN)/flake8 packages platform deploy tests bench standins examples tools
 
 format: $(STAMP)
-	$(BIN)/black -q packages tests bench standins examples tools
+	$(BIN)/black -q packages platform deploy tests bench standins examples tools
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
--- a/packages/teaseldock-edge/teaseldock_edge/reactor.py
+++ b/packages/teaseldock-edge/teaseldock_edge/reactor.py
@@ -122,7 +122,12 @@
             for key, events in self._selector.select(self._patience()):
                 self._guard(key.data, events)
             self._fire_timers()
+
+    def close(self) -> None:
+        """Free what the loop holds; the sockets belong to others."""
         self._selector.close()
+        os.close(self._wake_in)
+        os.close(self._wake_out)
 
     def _patience(self) -> float | None:
         if not self._timers:
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import typing
 
@@ -12,6 +13,7 @@
 from teaseldock.packets import node
 from teaseldock.packets import records
 from teaseldock.packets import reporting
+from teaseldock.packets import searching
 from teaseldock.packets import tracking
 
 if typing.TYPE_CHECKING:
@@ -23,6 +25,11 @@
 #: Terms of requests whose route is unknown here: an agent that knows no
 #: configuration yet must not hold anything back for long.
 UNKNOWN_TERMS = dispatching.Terms(0.15, 2.5, 0, guarded=False)
+#: Seconds after its start from which an agent has seen a packet of every flow,
+#: while no configuration names the idle timeout of flows.
+FLOW_IDLE_S = 15.0
+#: Questions about flows kept until the server has shown whether it holds them.
+PROBES_KEPT = 1000
 _NO_TOKEN = bytes(4)
 
 
@@ -53,6 +60,11 @@
         self._tracker = tracking.Tracker(now)
         self._queue = dispatching.RequestQueue()
         self._served_identifier = ''
+        self._server_seen_start = False
+        self._began = now
+        self._probes: collections.OrderedDict[bytes, str] = (
+            collections.OrderedDict()
+        )
         self._sweep_at = now
         self._reported: load.Load | None = None
         self._accepting = True
@@ -114,8 +126,23 @@
                 **self._flow_inputs,
             )
             self._queue.clear()
+            self._server_seen_start = True
         self._served_identifier = target.identifier
 
+    def _knows_all_flows(self, now: float) -> bool:
+        """Tell whether every flow of the server has shown itself here.
+
+        An agent that is younger than its server may hold flows that were
+        silent since; denying them would get them reset.
+        """
+        if self._server_seen_start:
+            return True
+        configuration = self._knowledge.configuration
+        idle_s = FLOW_IDLE_S
+        if configuration is not None and configuration.idle_timeout_ms:
+            idle_s = configuration.idle_timeout_ms / 1000
+        return now - self._began > idle_s
+
     def tick(self, now: float) -> None:
         """Do what is due."""
         super().tick(now)
@@ -152,6 +179,9 @@
     def _on_envelope(
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
+        if envelope.kind == control.KIND_LOCATE:
+            self._on_locate(envelope, host, now)
+            return
         if envelope.kind != control.KIND_PACKET:
             self._meters.counters['dropped_not_for_agent'] += 1
             return
@@ -233,6 +263,31 @@
             for held, host in item.packets:
                 self._to_server(held, host)
 
+    def _on_locate(
+        self, envelope: control.Envelope, host: str, now: float
+    ) -> None:
+        """Answer whether the server holds a flow, or let the server tell."""
+        item = self._outlet.read_packet(envelope.body)
+        if envelope.tag != self._tag:
+            self._answer(item.flow, host, searching.Holding.NOT_HELD)
+        elif self._tracker.holds(item.flow):
+            self._answer(item.flow, host, searching.Holding.HELD)
+        elif self._knows_all_flows(now):
+            self._answer(item.flow, host, searching.Holding.NOT_HELD)
+        else:
+            self._probes[item.flow] = host
+            if len(self._probes) > PROBES_KEPT:
+                self._probes.popitem(last=False)
+            self._to_server(item, host)
+
+    def _answer(
+        self, flow: bytes, host: str, holding: searching.Holding
+    ) -> None:
+        self._outlet.to_process(
+            host,
+            control.pack(control.KIND_LOCATED, holding, self._tag, flow),
+        )
+
     def _refuses_openings(self) -> bool:
         target = self.own_target
         return self._leaving or (target is not None and target.draining)
@@ -265,6 +320,9 @@
             return
         self._meters.counters['packets_out'] += 1
         self._outlet.to_caller(item)
+        asker = self._probes.pop(item.flow, None)
+        if asker is not None:
+            self._answer(item.flow, asker, searching.Holding.HELD)
         taken_s = self._tracker.from_server(item, now)
         if taken_s is not None:
             self._meters.time('request', taken_s * 1000)
@@ -278,6 +336,10 @@
         self._tracker.returned(item.flow)
         self._queue.drop(item.flow)
         self._release(now)
+        asker = self._probes.pop(item.flow, None)
+        if asker is not None:
+            self._answer(item.flow, asker, searching.Holding.NOT_HELD)
+            return
         host = '.'.join(map(str, item.token))
         if item.token == _NO_TOKEN:
             self._meters.counters['dropped_returned'] += 1
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -12,6 +12,7 @@
 from teaseldock.packets import node
 from teaseldock.packets import placing
 from teaseldock.packets import reporting
+from teaseldock.packets import searching
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import packet
@@ -35,13 +36,22 @@
 
     OPENING = 'opening'
     HINTED = 'hinted'
+    SEARCHED = 'searched'
     LOST = 'lost'
 
 
 class Entry:
     """Where a balancer sends the packets of one flow."""
 
-    __slots__ = ('target', 'tried', 'denied', 'place', 'service', 'seen_at')
+    __slots__ = (
+        'target',
+        'tried',
+        'denied',
+        'place',
+        'service',
+        'search',
+        'seen_at',
+    )
 
     def __init__(self, service: str, place: Place, now: float) -> None:
         """Start without a target."""
@@ -52,6 +62,7 @@
         self.denied: set[str] = set()
         self.place = place
         self.service = service
+        self.search: searching.Search | None = None
         self.seen_at = now
 
 
@@ -75,6 +86,7 @@
             collections.deque(maxlen=EARLY_KEPT)
         )
         self._suspected: dict[str, float] = {}
+        self._searched: dict[bytes, Entry] = {}
 
     @property
     def ready(self) -> bool:
@@ -103,6 +115,7 @@
         """Do what is due."""
         super().tick(now)
         self._serve_early(now)
+        self._search_on(now)
 
     def _serve_early(self, now: float) -> None:
         if not self._early or self.distrusts(now):
@@ -133,11 +146,14 @@
             entry = self._remember(
                 item.flow, self._service_of(route, item.flow), now
             )
-            entry.place = Place.HINTED
-            self._meters.counters['searches'] += 1
-            self._advance(item.flow, entry, now)
+            entry.place = Place.SEARCHED
         entry.seen_at = now
-        self._forward(item, entry, now)
+        if entry.place is Place.SEARCHED:
+            self._search(item, entry, now)
+        elif entry.place is Place.LOST:
+            self._reset(item)
+        else:
+            self._forward(item, entry, now)
 
     def _remember(self, flow: bytes, service: str, now: float) -> Entry:
         entry = Entry(service, Place.OPENING, now)
@@ -222,7 +238,6 @@
             self._candidate(target, now)
             for target in self._placeable(entry.service, now)
             if target.host not in entry.tried
-            and target.host not in entry.denied
         ]
         heard = [
             item
@@ -299,55 +314,139 @@
         ]
         return [item for item in targets if item.host not in entry.denied]
 
-    def _advance(self, flow: bytes, entry: Entry, now: float) -> None:
-        """Point an entry to the next target that may hold the flow."""
-        left = self._holders(flow, entry, now)
-        heard = [item for item in left if not self._is_silent(item, now)]
-        ordered = heard or left
-        entry.target = ordered[0] if ordered else None
+    def _search(self, item: packet.Packet, entry: Entry, now: float) -> None:
+        """Keep a packet, and ask who holds its flow."""
+        holders = self._holders(item.flow, entry, now)
+        hosts = list(dict.fromkeys(target.host for target in holders))
+        if entry.search is None or entry.search.stale(now):
+            self._meters.counters['searches'] += 1
+            entry.search = searching.Search(hosts, now)
+            self._searched[item.flow] = entry
+        entry.search.restrict(hosts)
+        entry.search.keep(item)
+        self._ask(item.flow, entry, now)
+
+    def _ask(self, flow: bytes, entry: Entry, now: float) -> None:
+        search = entry.search
+        if search is None or search.probe is None:
+            return
+        if search.over:
+            self._give_up(flow, entry, search)
+            return
+        datagram = control.pack(
+            control.KIND_LOCATE,
+            0,
+            control.service_tag(entry.service),
+            search.probe.raw,
+        )
+        for host in search.due(now):
+            self._meters.counters['asked'] += 1
+            self._outlet.to_process(host, datagram)
+
+    def _give_up(
+        self, flow: bytes, entry: Entry, search: searching.Search
+    ) -> None:
+        """Reset a flow that nobody holds, so that its caller comes again."""
+        entry.place = Place.LOST
+        entry.search = None
+        self._searched.pop(flow, None)
+        self._meters.counters['flows_lost'] += 1
+        self._reporter.note(
+            'flow lost',
+            flow=reporting.flow_text(flow),
+            asked=len(search.denied),
+            denied_before=len(entry.denied),
+            **self._flow_inputs,
+        )
+        for item in search.take_packets()[-1:]:
+            self._reset(item)
+
+    def _reset(self, item: packet.Packet) -> None:
+        if not item.resetting:
+            self._outlet.reset_caller(item)
+
+    def _on_located(
+        self, envelope: control.Envelope, host: str, now: float
+    ) -> None:
+        """Take an agent's answer to a search."""
+        flow = envelope.body
+        entry = self._flows.get(flow)
+        if entry is None or entry.search is None:
+            return
+        if envelope.detail != searching.Holding.HELD:
+            entry.search.deny(host)
+            self._ask(flow, entry, now)
+            return
+        for target in self._holders(flow, entry, now):
+            if target.host == host:
+                self._found(flow, entry, target, now)
+                return
+
+    def _found(
+        self, flow: bytes, entry: Entry, target: records.Target, now: float
+    ) -> None:
+        search = entry.search
+        entry.target = target
+        entry.place = Place.HINTED
+        entry.search = None
+        self._searched.pop(flow, None)
+        self._reporter.note(
+            'flow found',
+            flow=reporting.flow_text(flow),
+            host=target.host,
+            target=target.identifier,
+            **self._flow_inputs,
+        )
+        for item in search.take_packets() if search else []:
+            self._forward(item, entry, now)
+
+    def _search_on(self, now: float) -> None:
+        """Ask those again that have not answered, and end old searches."""
+        for flow, entry in list(self._searched.items()):
+            if entry.search is None or entry.search.stale(now):
+                del self._searched[flow]
+                continue
+            self._ask(flow, entry, now)
 
     def _on_envelope(
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
+        if envelope.kind == control.KIND_LOCATED:
+            self._on_located(envelope, host, now)
+            return
         if envelope.kind != control.KIND_RETURNED:
             self._meters.counters['dropped_not_for_balancer'] += 1
             return
         item = self._outlet.read_packet(envelope.body)
-        if item.opening:
-            self._reopen(item, host, now)
-            return
-        self._search_on(item, host, now)
-
-    def _reopen(self, item: packet.Packet, host: str, now: float) -> None:
-        """Place a flow anew whose target did not take it."""
         entry = self._flows.get(item.flow)
-        if entry is None or entry.target is None:
+        if entry is None:
             self._meters.counters['dropped_returned'] += 1
             return
-        entry.denied.add(host)
-        self._place(item, entry, now)
+        if item.opening:
+            self._reopen(item, entry, host, now)
+            return
+        self._on_returned(item, entry, host, now)
 
-    def _search_on(self, item: packet.Packet, host: str, now: float) -> None:
-        """Try the next target for a packet of a flow that was not there."""
-        entry = self._flows.get(item.flow)
-        if entry is None:
-            self._meters.counters['dropped_returned'] += 1
+    def _on_returned(
+        self, item: packet.Packet, entry: Entry, host: str, now: float
+    ) -> None:
+        """Look elsewhere for a flow whose target doesn't hold it."""
+        if entry.place is Place.LOST:
+            self._reset(item)
             return
         entry.denied.add(host)
         if entry.target is not None and entry.target.host == host:
-            entry.place = Place.HINTED
-            self._advance(item.flow, entry, now)
-        if entry.target is not None:
-            self._forward(item, entry, now)
+            entry.target = None
+            entry.place = Place.SEARCHED
+        if entry.place is Place.SEARCHED:
+            self._search(item, entry, now)
             return
-        if entry.place is not Place.LOST:
-            entry.place = Place.LOST
-            self._meters.counters['flows_lost'] += 1
-            self._reporter.note(
-                'flow lost',
-                flow=reporting.flow_text(item.flow),
-                asked=len(entry.denied),
-                **self._flow_inputs,
-            )
-        if not item.resetting:
-            self._outlet.reset_caller(item)
+        self._forward(item, entry, now)
+
+    def _reopen(
+        self, item: packet.Packet, entry: Entry, host: str, now: float
+    ) -> None:
+        """Place a flow anew whose target did not take it."""
+        entry.tried.append(host)
+        if entry.target is None or entry.target.host == host:
+            self._place(item, entry, now)
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -29,6 +29,11 @@
 KIND_HEARTBEAT = 3
 #: A part of changes to what is known.
 KIND_CHANGES = 4
+#: The question whether a backend server holds the flow of a packet. It carries
+#: the packet: an agent too young to know gives it to its server.
+KIND_LOCATE = 5
+#: The answer to it: the flow's key; the detail tells.
+KIND_LOCATED = 6
 #: Bytes of changes in one datagram, below the usual MTU with all headers.
 FRAGMENT_BYTES = 1200
 #: Index and count of a fragment, and a number for all of one transfer.
@@ -65,7 +70,8 @@
     """One datagram between processes, its head decoded.
 
     :ivar kind: one of the kinds of this module.
-    :ivar detail: for a returned packet, a :class:`Reason`.
+    :ivar detail: for a returned packet, why; for an answer, whether the flow
+        is held.
     :ivar tag: of the service, see :func:`service_tag`.
     :ivar body: what follows the head.
     """
--- /dev/null
+++ b/tests/edge/__init__.py
@@ -0,0 +1,3 @@
+"""Test the plumbing of the packet programs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/edge/test_http_exchange.py
@@ -0,0 +1,148 @@
+"""Test the HTTP client and page server against each other and bad peers."""
+
+from __future__ import annotations
+
+import socket
+import typing
+
+import pytest
+
+from teaseldock import flow
+from teaseldock_edge import http_exchange
+from teaseldock_edge import reactor
+
+HOST = '127.0.0.1'
+
+
+class Outcome:
+    """What the callbacks of requests were told."""
+
+    def __init__(self, loop: reactor.Reactor) -> None:
+        """Start with nothing."""
+        self.loop = loop
+        self.answers: list[tuple[int, bytes]] = []
+        self.failures: list[str] = []
+
+    def get(
+        self, client: http_exchange.Client, path: str, *, timeout_s: float
+    ) -> None:
+        """Ask, and run until the request has ended."""
+        client.get(
+            path,
+            timeout_s=timeout_s,
+            on_answer=self._answer,
+            on_failure=self._fail,
+        )
+        self.loop.run()
+
+    def _answer(self, status: int, body: bytes) -> None:
+        self.answers.append((status, body))
+        self.loop.stop()
+
+    def _fail(self, problem: str) -> None:
+        self.failures.append(problem)
+        self.loop.stop()
+
+
+@pytest.fixture
+def outcome() -> typing.Iterator[Outcome]:
+    """Return a loop whose faults fail the test."""
+    faults: list[Exception] = []
+    loop = reactor.Reactor(faults.append)
+    yield Outcome(loop)
+    loop.close()
+    assert not faults
+
+
+def listening() -> tuple[socket.socket, flow.Endpoint]:
+    """Return a socket that listens on a free port."""
+    item = socket.create_server((HOST, 0))
+    return item, flow.Endpoint(HOST, item.getsockname()[1])
+
+
+def free_endpoint() -> flow.Endpoint:
+    """Return an address where nobody listens."""
+    item, endpoint = listening()
+    item.close()
+    return endpoint
+
+
+def test_pages_are_served_over_one_connection(outcome: Outcome) -> None:
+    """Two requests and an unknown page go over the same connection."""
+    endpoint = free_endpoint()
+    pages = {'/a': lambda: http_exchange.Page(503, 'text/plain', 'x' * 500)}
+    server = http_exchange.PageServer(outcome.loop, pages)
+    server.start(endpoint)
+    client = http_exchange.Client(outcome.loop, endpoint)
+    for path in ('/a?b=1', '/a', '/none'):
+        outcome.get(client, path, timeout_s=2)
+    assert [status for status, _ in outcome.answers] == [503, 503, 404]
+    assert outcome.answers[0][1] == b'x' * 500
+    client.close()
+    server.close()
+
+
+def test_a_silent_server_ends_a_request(outcome: Outcome) -> None:
+    """A reader waits for ever on a connection that fell silent.
+
+    Symptom: changes of the store are not seen any more, without an error.
+    Events: a connection is accepted, and nothing comes over it.
+    Cause: only a reset or an answer ended the request.
+    """
+    item, endpoint = listening()
+    client = http_exchange.Client(outcome.loop, endpoint)
+    outcome.get(client, '/', timeout_s=0.1)
+    assert 'no answer' in outcome.failures[0]
+    item.close()
+
+
+def test_a_closed_port_fails_at_once(outcome: Outcome) -> None:
+    """A refused connection is a failure, and the next request tries anew."""
+    client = http_exchange.Client(outcome.loop, free_endpoint())
+    outcome.get(client, '/', timeout_s=2)
+    outcome.get(client, '/', timeout_s=2)
+    assert len(outcome.failures) == 2
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        b'nonsense\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf',
+        b'',
+    ],
+)
+def test_a_bad_reply_is_a_failure(outcome: Outcome, reply: bytes) -> None:
+    """A cut or unreadable answer is none."""
+    item, endpoint = listening()
+    accepted: list[socket.socket] = []
+
+    def answer(_: int) -> None:
+        caller, _address = item.accept()
+        caller.sendall(reply)
+        caller.shutdown(socket.SHUT_WR)
+        accepted.append(caller)
+
+    outcome.loop.watch(item, answer)
+    client = http_exchange.Client(outcome.loop, endpoint)
+    outcome.get(client, '/', timeout_s=2)
+    assert len(outcome.failures) == 1 and not outcome.answers
+    outcome.loop.unwatch(item)
+    for opened in (item, *accepted):
+        opened.close()
+
+
+def test_a_server_outlives_bad_requests(outcome: Outcome) -> None:
+    """Nonsense from one caller leaves the pages to others."""
+    endpoint = free_endpoint()
+    pages = {'/a': lambda: http_exchange.Page(200, 'text/plain', 'fine')}
+    server = http_exchange.PageServer(outcome.loop, pages)
+    server.start(endpoint)
+    rude = socket.create_connection(tuple(endpoint))
+    rude.sendall(b'\x00' * 20000)
+    client = http_exchange.Client(outcome.loop, endpoint)
+    outcome.get(client, '/a', timeout_s=2)
+    assert outcome.answers == [(200, b'fine')]
+    rude.close()
+    client.close()
+    server.close()
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Test the translation between the users' platform and the product."""
+
+from __future__ import annotations
