Refuse no opening while an earlier copy of it is under way

Change: only targets that returned the opening count as a no; while another copy is under way, the opening goes round again.

Figures: test_a_late_answer_to_an_opening_meets_no_reset fails without, passes with the change.

--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -196,6 +196,11 @@
 
     def _place(self, item: packet.Packet, entry: Entry, now: float) -> None:
         candidates = self._candidates(entry, now)
+        if not candidates and not entry.denied.issuperset(entry.tried):
+            # An earlier copy is still under way to one that has not said no.
+            # A refusal now could meet the flow just as it opens there.
+            entry.tried.clear()
+            candidates = self._candidates(entry, now)
         chosen = placing.choose(
             item.flow, candidates, data_centre=self._data_centre
         )
@@ -238,6 +243,7 @@
             self._candidate(target, now)
             for target in self._placeable(entry.service, now)
             if target.host not in entry.tried
+            and target.host not in entry.denied
         ]
         heard = [
             item
@@ -447,6 +453,6 @@
         self, item: packet.Packet, entry: Entry, host: str, now: float
     ) -> None:
         """Place a flow anew whose target did not take it."""
-        entry.tried.append(host)
+        entry.denied.add(host)
         if entry.target is None or entry.target.host == host:
             self._place(item, entry, now)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,198 @@
+"""Put programs, store, servers, fabric and callers together."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import time
+
+from soak import callers
+from soak import faults
+from soak import fleet
+from soak import network
+from soak import servers
+from soak import store
+
+#: Ports of routes that stay, by service; and where added routes begin.
+PORTS = {'dispatch': 443, 'tickets': 444}
+_EXTRA_PORT = 1000
+#: Seconds until a process that has ended is started again.
+_RESTART_S = 0.3
+#: Seconds of calm before and after the faults.
+_CALM_S = 5.0
+
+
+class World:
+    """One soak from its start to its records."""
+
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        *,
+        balancers: int,
+        agents: int,
+        fault_s: float,
+    ) -> None:
+        """Build everything; nothing runs before :meth:`run`."""
+        if balancers + agents > fleet.MOST_PROCESSES:
+            raise ValueError(f'more than {fleet.MOST_PROCESSES} processes')
+        self._random = random.Random(seed)
+        self._fault_s = fault_s
+        self.journal = servers.Journal()
+        self.store = store.Store()
+        self.store_disturbed_at = 0.0
+        self.routes: dict[int, list[tuple[float, bool]]] = {}
+        self._version = 0
+        address = (network.host(4, 1), network.CONTROL_PORT)
+        self._store_address = address
+        self.proxies = [store.Proxy(address), store.Proxy(address)]
+        self.programs = [
+            fleet.Program('balancer', number + 1, folder, service='')
+            for number in range(balancers)
+        ]
+        self.servers = []
+        for number in range(agents):
+            service = 'tickets' if number % 4 == 3 else 'dispatch'
+            program = fleet.Program(
+                'agent', number + 1, folder, service=service
+            )
+            self.programs.append(program)
+            self.servers.append(
+                servers.Server(
+                    number + 1,
+                    service,
+                    journal=self.journal,
+                    registry=self.store,
+                    randomness=self._random,
+                )
+            )
+        self.fabric = callers.Fabric(
+            [p.host for p in self.programs if p.role == 'balancer'],
+            self._random,
+        )
+        self.callers = [
+            callers.Caller(number + 1, self.fabric, self._random)
+            for number in range(8)
+        ]
+        self.faults = faults.Faults(self, self._random)
+        self.calm_from = 0.0
+        self._ending = False
+
+    def configure(self) -> None:
+        """Publish the next version: one route comes, the oldest goes."""
+        self._version += self._random.randrange(1, 4)
+        port = _EXTRA_PORT + self._version
+        extra = sorted(p for p in self.routes if p >= _EXTRA_PORT)
+        live = [p for p in extra if self.routes[p][-1][1]]
+        dropped = live[:1] if len(live) >= 3 else []
+        ports = [p for p in live if p not in dropped] + [port]
+        at = self.store.put(
+            'op/config',
+            {
+                'version': self._version,
+                'routes': [
+                    self._route(service, number)
+                    for service, number in PORTS.items()
+                ]
+                + [self._route('dispatch', number) for number in ports],
+                'limits': {'idleTimeoutMs': 15000},
+            },
+        )
+        self.routes.setdefault(port, []).append((at, True))
+        for number in dropped:
+            self.routes[number].append((at, False))
+
+    @staticmethod
+    def _route(service: str, port: int) -> dict:
+        return {
+            'name': f'r-{port}',
+            'host': '198.18.0.1',
+            'prefix': f'/{port}/',
+            'kind': 'idempotent',
+            'timeoutMs': 3000,
+            'sloMs': 200,
+            'priority': 1,
+            'service': service,
+        }
+
+    async def run(self) -> None:
+        """Play the soak."""
+        self.store.start(self._store_address)
+        for number, proxy in enumerate(self.proxies):
+            await proxy.start((network.host(4, 2 + number), 18000))
+        self.configure()
+        for server in self.servers:
+            await server.start()
+        for caller in self.callers:
+            await caller.start()
+        seeds = [
+            f'{p.host}:{network.CONTROL_PORT}'
+            for p in self.programs
+            if p.role == 'balancer'
+        ][:3]
+        for number, program in enumerate(self.programs):
+            program.seeds = seeds
+            program.store = f'{network.host(4, 2 + number % 2)}:18000'
+            program.write_settings()
+            program.start()
+        keeper = asyncio.create_task(self._keep_running())
+        self.fabric.start()
+        await asyncio.sleep(3.0)
+        traffic = asyncio.create_task(self._traffic())
+        await asyncio.sleep(1.0)
+        await self.faults.run(self._fault_s)
+        self.calm_from = time.monotonic() + _CALM_S
+        await asyncio.sleep(2 * _CALM_S)
+        self._ending = True
+        await traffic
+        keeper.cancel()
+        await self.close()
+
+    async def close(self) -> None:
+        """End what was started."""
+        for program in self.programs:
+            program.send(fleet.signal.SIGTERM)
+        for program in self.programs:
+            await asyncio.to_thread(program.wait, 5.0)
+        self.fabric.close()
+        for caller in self.callers:
+            caller.close()
+        for server in self.servers:
+            if server.up:
+                server.crash(forget=False)
+        for proxy in self.proxies:
+            proxy.close()
+        self.store.close()
+
+    async def _keep_running(self) -> None:
+        while True:
+            for program in self.programs:
+                if not program.running:
+                    await asyncio.sleep(_RESTART_S / 10)
+                    program.start()
+            await asyncio.sleep(_RESTART_S)
+
+    async def _traffic(self) -> None:
+        running: set[asyncio.Task] = set()
+        while not self._ending:
+            caller = self._random.choice(self.callers)
+            kind = self._random.random()
+            port = PORTS['tickets' if kind > 0.85 else 'dispatch']
+            live = [p for p, states in self.routes.items() if states[-1][1]]
+            if 0.6 < kind < 0.7 and live:
+                port = self._random.choice(sorted(self.routes))
+            task = asyncio.create_task(
+                caller.ask(
+                    port,
+                    guarded=kind > 0.7,
+                    times=8 if kind < 0.3 else 1,
+                )
+            )
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self._random.expovariate(40))
+        await asyncio.wait_for(
+            asyncio.gather(*running, return_exceptions=False), 60
+        )
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -270,3 +270,23 @@
     ask_all(world, feeds, 1.0)
     assert all(feed.outcome == 'answered' for feed in feeds)
     assert not world.broken()
+
+
+def test_a_late_answer_to_an_opening_meets_no_reset() -> None:
+    """A flow is reset just as it opens.
+
+    Symptom: a caller gets a reset right after its opening was accepted.
+    Events: an agent stands still for 0.3 s; the caller repeats its opening;
+    no other target is there; the agent wakes and the server accepts.
+    Cause: a repeated opening without a further target was refused, though
+    the first one was still under way.
+    """
+    world = packet_world.small_world(servers=1)
+    agent = world.processes['10.0.1.1']
+    agent.paused = True
+    request = world.request(tries=1)
+    world.run(0.3)
+    agent.wake()
+    world.run(0.5)
+    assert request.outcome == 'answered'
+    assert not world.resets
