--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -61,3 +61,35 @@
         if 'aiocoap' in imported(path)
     }
     assert users == {'coap.py'}
+
+
+#: Words of the users' platform that only its translation may use.
+PLATFORM_WORDS = (
+    'kv-range',
+    'kv-watch',
+    'TEASELDOCK_BOOT',
+    'internalPorts',
+    'datagramAddr',
+    'warmupLeftMs',
+    'sloMs',
+    'machineClass',
+)
+
+
+def test_only_the_translation_knows_the_platform() -> None:
+    """Decisions and edges use the product's names."""
+    root = LIBRARY.parent.parent
+    for path in sorted(root.rglob('*.py')):
+        text = path.read_text()
+        for word in PLATFORM_WORDS:
+            assert word not in text, f'{path} says {word}'
+
+
+def test_the_translation_hides_no_standard_module() -> None:
+    """A package at platform/ would hide the module of that name."""
+    assert not (root_of_repository() / 'platform' / '__init__.py').exists()
+
+
+def root_of_repository() -> pathlib.Path:
+    """Return the folder of the repository."""
+    return LIBRARY.parent.parent.parent
