--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -11,12 +11,12 @@
 from teaseldock.packets import mesh
 from teaseldock.packets import node
 from teaseldock.packets import placing
+from teaseldock.packets import records
 from teaseldock.packets import reporting
 from teaseldock.packets import searching
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import packet
-    from teaseldock.packets import records
 
 #: Flows of which a balancer remembers where they are; about 500 bytes each.
 FLOWS_REMEMBERED = 40_000
@@ -202,7 +202,10 @@
             entry.tried.clear()
             candidates = self._candidates(entry, now)
         chosen = placing.choose(
-            item.flow, candidates, data_centre=self._data_centre
+            item.flow,
+            candidates,
+            data_centre=self._data_centre,
+            bulky=self._near(item.flow) is not None,
         )
         if chosen is None:
             self._refuse(item, 'no target', now)
@@ -305,12 +308,22 @@
             ),
         )
 
+    def _near(self, flow: bytes) -> str | None:
+        """Return the data centre that a flow should stay in, if any."""
+        route = self._knowledge.route(flows.service_of(flow))
+        if route is None or route.kind != records.RequestKind.UPLOAD:
+            return None
+        return self._data_centre
+
     def _holders(
         self, flow: bytes, entry: Entry, now: float
     ) -> list[records.Target]:
         """Return the targets that may hold a flow, the likeliest first."""
-        targets = list(self._knowledge.of_service(entry.service))
-        targets.sort(key=lambda target: placing.rank(flow, target))
+        targets = placing.ranked(
+            flow,
+            self._knowledge.of_service(entry.service),
+            near=self._near(flow),
+        )
         targets.sort(key=lambda target: target.host not in entry.tried)
         # A target without an entry and without an agent is gone for good.
         targets += [
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -65,6 +65,23 @@
     return siphash24.siphash24(text, key=_RANK_KEY).digest()
 
 
+def ranked(
+    flow: bytes, targets: list[records.Target], *, near: str | None
+) -> list[records.Target]:
+    """Return targets in the order in which a flow may be at them.
+
+    :param near: data centre whose targets come first, for flows that carry
+        many bytes; those that cross are charged.
+    """
+    return sorted(
+        targets,
+        key=lambda item: (
+            near is not None and item.data_centre != near,
+            rank(flow, item),
+        ),
+    )
+
+
 def pressure(candidate: Candidate, *, data_centre: str) -> float:
     """Return requests per slot that a new flow would meet.
 
@@ -83,21 +100,32 @@
 
 
 def choose(
-    flow: bytes, candidates: list[Candidate], *, data_centre: str
+    flow: bytes,
+    candidates: list[Candidate],
+    *,
+    data_centre: str,
+    bulky: bool,
 ) -> Candidate | None:
     """Return where a new flow goes, or None if there is no target.
 
     :param candidates: targets that may get new flows.
     :param data_centre: of the balancer that places it.
+    :param bulky: whether the flow carries many bytes.
     """
     if not candidates:
         return None
-    ranked = sorted(candidates, key=lambda item: rank(flow, item.target))
+    known = {item.target.identifier: item for item in candidates}
+    order = ranked(
+        flow,
+        [item.target for item in candidates],
+        near=data_centre if bulky else None,
+    )
+    ordered = [known[target.identifier] for target in order]
 
     def cost(item: Candidate) -> float:
         return pressure(item, data_centre=data_centre)
 
-    best = min(ranked[:CANDIDATES], key=cost)
-    if len(ranked) <= CANDIDATES or cost(best) < LOADED:
+    best = min(ordered[:CANDIDATES], key=cost)
+    if len(ordered) <= CANDIDATES or cost(best) < LOADED:
         return best
-    return min(ranked, key=cost)
+    return min(ordered, key=cost)
