Bound what searches and heartbeats cost a slim link

Heartbeats that named 24 balancers took 56 KB/s.

Change: a question is the flow's key, 20 bytes; a packet goes only to agents too young to know. Questions have a budget, 100 KB/s, and are repeated after 0.2, 0.4, 0.8 s and so on. Other balancers are named each 2 s, four bytes each.

--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -182,6 +182,9 @@
         if envelope.kind == control.KIND_LOCATE:
             self._on_locate(envelope, host, now)
             return
+        if envelope.kind == control.KIND_PROBE:
+            self._on_probe(envelope, host)
+            return
         if envelope.kind != control.KIND_PACKET:
             self._meters.counters['dropped_not_for_agent'] += 1
             return
@@ -266,19 +269,27 @@
     def _on_locate(
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
-        """Answer whether the server holds a flow, or let the server tell."""
-        item = self._outlet.read_packet(envelope.body)
+        """Answer whether the server holds a flow."""
+        flow = envelope.body
         if envelope.tag != self._tag:
-            self._answer(item.flow, host, searching.Holding.NOT_HELD)
-        elif self._tracker.holds(item.flow):
-            self._answer(item.flow, host, searching.Holding.HELD)
+            self._answer(flow, host, searching.Holding.NOT_HELD)
+        elif self._tracker.holds(flow):
+            self._answer(flow, host, searching.Holding.HELD)
         elif self._knows_all_flows(now):
-            self._answer(item.flow, host, searching.Holding.NOT_HELD)
+            self._answer(flow, host, searching.Holding.NOT_HELD)
         else:
-            self._probes[item.flow] = host
-            if len(self._probes) > PROBES_KEPT:
-                self._probes.popitem(last=False)
-            self._to_server(item, host)
+            self._answer(flow, host, searching.Holding.UNSURE)
+
+    def _on_probe(self, envelope: control.Envelope, host: str) -> None:
+        """Let the server show whether it holds the flow of a packet."""
+        item = self._outlet.read_packet(envelope.body)
+        if envelope.tag != self._tag:
+            self._answer(item.flow, host, searching.Holding.NOT_HELD)
+            return
+        self._probes[item.flow] = host
+        if len(self._probes) > PROBES_KEPT:
+            self._probes.popitem(last=False)
+        self._to_server(item, host)
 
     def _answer(
         self, flow: bytes, host: str, holding: searching.Holding
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -6,6 +6,7 @@
 import enum
 import typing
 
+from teaseldock import budget
 from teaseldock import flow as flows
 from teaseldock.packets import control
 from teaseldock.packets import mesh
@@ -87,6 +88,10 @@
         )
         self._suspected: dict[str, float] = {}
         self._searched: dict[bytes, Entry] = {}
+        self._ask_budget = budget.Budget(
+            bytes_per_s=searching.BYTES_PER_S,
+            burst_bytes=searching.BYTES_AT_ONCE,
+        )
 
     @property
     def ready(self) -> bool:
@@ -352,15 +357,22 @@
         if search.over:
             self._give_up(flow, entry, search)
             return
+        for host in search.due(now):
+            if not self._ask_budget.has_room(now):
+                self._meters.counters['questions_delayed'] += 1
+                return
+            search.asked(host, now)
+            self._ask_host(host, control.KIND_LOCATE, entry, flow)
+
+    def _ask_host(
+        self, host: str, kind: int, entry: Entry, body: bytes
+    ) -> None:
+        self._meters.counters['asked'] += 1
         datagram = control.pack(
-            control.KIND_LOCATE,
-            0,
-            control.service_tag(entry.service),
-            search.probe.raw,
+            kind, 0, control.service_tag(entry.service), body
         )
-        for host in search.due(now):
-            self._meters.counters['asked'] += 1
-            self._outlet.to_process(host, datagram)
+        self._ask_budget.spend(len(datagram) + searching.HEADER_BYTES)
+        self._outlet.to_process(host, datagram)
 
     def _give_up(
         self, flow: bytes, entry: Entry, search: searching.Search
@@ -392,10 +404,15 @@
         entry = self._flows.get(flow)
         if entry is None or entry.search is None:
             return
-        if envelope.detail != searching.Holding.HELD:
+        if envelope.detail == searching.Holding.NOT_HELD:
             entry.search.deny(host)
             self._ask(flow, entry, now)
             return
+        if envelope.detail == searching.Holding.UNSURE:
+            probe = entry.search.probe
+            if probe is not None:
+                self._ask_host(host, control.KIND_PROBE, entry, probe.raw)
+            return
         for target in self._holders(flow, entry, now):
             if target.host == host:
                 self._found(flow, entry, target, now)
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -29,11 +29,13 @@
 KIND_HEARTBEAT = 3
 #: A part of changes to what is known.
 KIND_CHANGES = 4
-#: The question whether a backend server holds the flow of a packet. It carries
-#: the packet: an agent too young to know gives it to its server.
+#: The question whether a backend server holds a flow: the flow's key.
 KIND_LOCATE = 5
 #: The answer to it: the flow's key; the detail tells.
 KIND_LOCATED = 6
+#: The question with a packet of the flow, for an agent that is too young to
+#: know: it gives the packet to its server.
+KIND_PROBE = 7
 #: Bytes of changes in one datagram, below the usual MTU with all headers.
 FRAGMENT_BYTES = 1200
 #: Index and count of a fragment, and a number for all of one transfer.
@@ -52,7 +54,8 @@
         of, its own or a peer's.
     :ivar store_failing: whether its own calls to the store fail.
     :ivar server_load: load of its backend server, None for a balancer.
-    :ivar balancers: hosts of balancers that it has heard of.
+    :ivar named: addresses of balancers that it has heard of, four bytes each;
+        empty in most heartbeats.
     """
 
     host: str
@@ -63,7 +66,15 @@
     confirmed_ms: int
     store_failing: bool
     server_load: load.Load | None
-    balancers: list[str]
+    named: bytes
+
+    @property
+    def balancers(self) -> list[str]:
+        """Return the hosts of the balancers named."""
+        return [
+            '.'.join(map(str, self.named[start : start + 4]))
+            for start in range(0, len(self.named), 4)
+        ]
 
 
 class Envelope(typing.NamedTuple):
@@ -82,6 +93,11 @@
     body: bytes
 
 
+def pack_hosts(hosts: list[str]) -> bytes:
+    """Return IPv4 addresses as four bytes each."""
+    return b''.join(bytes(map(int, host.split('.'))) for host in hosts)
+
+
 def service_tag(service: str) -> int:
     """Return the 32-bit number that stands for a service."""
     return zlib.crc32(service.encode())
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -12,9 +12,13 @@
 
 from teaseldock.packets import control
 
-#: Seconds between two heartbeats of a balancer to each process it knows.
-#: Three fit into SILENT_S.
+#: Seconds between two heartbeats of a balancer to another one, and to an agent.
+#: Three and two fit into SILENT_S. With 98 agents and 26 balancers: 15 KB/s.
 BALANCER_INTERVAL_S = 0.4
+TO_AGENT_INTERVAL_S = 0.6
+#: Seconds between two heartbeats that name other balancers. Naming 24 in each
+#: took 56 KB/s at 98 agents.
+NAMING_INTERVAL_S = 2.0
 #: Seconds between two heartbeats of an agent to each balancer: while its load
 #: changes, and otherwise. A placement that is 100 ms old is off by one request
 #: at 10 new flows a second and target.
@@ -68,6 +72,7 @@
         self.heard_at: float | None = None
         self.known_at = 0.0
         self.told_at = 0.0
+        self.named_at = 0.0
         self.sent_upto = 0
         self.sent_at = 0.0
         self.assembler = control.Assembler()
@@ -207,13 +212,16 @@
 
         A balancer tells everybody, an agent the balancers. Silent ones are
         still told, so that both halves of a healed partition meet again.
+
+        :param interval_s: seconds between two heartbeats to a balancer.
         """
         self._forget(now)
         return [
             peer
             for peer in self._peers.values()
             if (self._is_balancer or peer.is_balancer)
-            and now - peer.told_at >= interval_s
+            and now - peer.told_at
+            >= (interval_s if peer.is_balancer else TO_AGENT_INTERVAL_S)
         ]
 
     def _forget(self, now: float) -> None:
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -306,12 +306,18 @@
             self._mesh.confirmed_ms(now),
             self._mesh.store_failing,
             self._server_load(now),
-            self._mesh.named_balancers(now),
+            b'',
         )
-        datagram = control.pack_heartbeat(heartbeat)
+        named = control.pack_hosts(self._mesh.named_balancers(now))
+        plain = control.pack_heartbeat(heartbeat)
+        naming = control.pack_heartbeat(heartbeat._replace(named=named))
         for peer in peers:
             peer.told_at = now
-            self._send(peer.host, datagram)
+            if now - peer.named_at < mesh.NAMING_INTERVAL_S:
+                self._send(peer.host, plain)
+                continue
+            peer.named_at = now
+            self._send(peer.host, naming)
 
     def on_datagram(self, datagram: bytes, host: str, now: float) -> None:
         """Handle a datagram at the internal port."""
@@ -347,6 +353,7 @@
         )
         peer = self._mesh.hear(heartbeat, now)
         if unheard:
+            peer.named_at = 0.0
             self._reporter.note(
                 'process heard',
                 host=host,
--- a/packages/teaseldock/teaseldock/packets/searching.py
+++ b/packages/teaseldock/teaseldock/packets/searching.py
@@ -4,7 +4,10 @@
 of all flows to balancers that have never seen them, hundreds within a second.
 Sending their packets from target to target would fill a slim link: an upload
 has 16 packets of 1,200 bytes under way, and at 45 targets each would cross
-the link up to 45 times, 7 s at 1 Mbit/s. So one packet asks, the others wait.
+the link up to 45 times, 7 s at 1 Mbit/s. So a question of 20 bytes goes round
+and the packets wait. Questions have a budget and are repeated ever more
+seldom: asked again each 0.2 s, 100 flows at 45 targets of which some are cut
+off took 12 Mbit/s of a link of 10, and the answers were lost with the rest.
 """
 
 from __future__ import annotations
@@ -21,8 +24,15 @@
 #: Seconds after which all others are asked although the first are silent:
 #: five round trips between data centres.
 WIDEN_S = 0.02
-#: Seconds until those that have not answered are asked again.
+#: Seconds until those that have not answered are asked again, doubled each
+#: time; callers repeat their data after 0.2, 0.6 and 1.4 s.
 ASK_AGAIN_S = 0.2
+#: Bytes a second, and at once, that a balancer spends on questions, with 28
+#: bytes of headers each: 8 % of a link of 10 Mbit/s in the long run; at once,
+#: 300 flows at their four likeliest targets.
+BYTES_PER_S = 100_000.0
+BYTES_AT_ONCE = 60_000.0
+HEADER_BYTES = 28
 #: Seconds after which a search without packets is given up; a caller repeats
 #: its data within 1.6 s.
 FORGET_S = 5.0
@@ -33,6 +43,14 @@
 
     NOT_HELD = 0
     HELD = 1
+    UNSURE = 2
+
+
+class _Asked(typing.NamedTuple):
+    """When a host was asked last, and how often."""
+
+    at: float
+    times: int
 
 
 class Search:
@@ -45,7 +63,7 @@
             first.
         """
         self._hosts = hosts
-        self._asked: dict[str, float] = {}
+        self._asked: dict[str, _Asked] = {}
         self._denied: set[str] = set()
         self._began = now
         self._packets: list[typing.Any] = []
@@ -91,20 +109,27 @@
         self._hosts = hosts
 
     def due(self, now: float) -> list[str]:
-        """Return the hosts to ask now."""
+        """Return the hosts to ask now, the likeliest first."""
         first = self._hosts[:ASKED_FIRST]
         widened = now - self._began >= WIDEN_S
         if widened or self._denied.issuperset(first):
             first = self._hosts
-        asked = [
+        return [
             host
             for host in first
-            if host not in self._denied
-            and now - self._asked.get(host, -ASK_AGAIN_S) >= ASK_AGAIN_S
+            if host not in self._denied and self._is_due(host, now)
         ]
-        for host in asked:
-            self._asked[host] = now
-        return asked
+
+    def _is_due(self, host: str, now: float) -> bool:
+        asked = self._asked.get(host)
+        if asked is None:
+            return True
+        return now - asked.at >= ASK_AGAIN_S * 2 ** (asked.times - 1)
+
+    def asked(self, host: str, now: float) -> None:
+        """Note that a host was asked."""
+        times = self._asked[host].times if host in self._asked else 0
+        self._asked[host] = _Asked(now, times + 1)
 
     def stale(self, now: float) -> bool:
         """Tell whether the search has been going on for too long."""
