--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -550,7 +550,7 @@
         """Let the fabric ask who is ready; two misses take out."""
         self.after(FABRIC_S, self._look)
         for process in self.balancers():
-            ready = not process.paused and process.node.ready
+            ready = not process.paused and process.node.ready(self.now)
             misses = 0 if ready else self._rotation.get(process.host, 2) + 1
             self._rotation[process.host] = misses
         for host in list(self._rotation):
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -93,10 +93,17 @@
             burst_bytes=searching.BYTES_AT_ONCE,
         )
 
-    @property
-    def ready(self) -> bool:
-        """Tell whether the fabric should send packets here."""
-        return self._knowledge.usable and not self._leaving
+    def ready(self, now: float) -> bool:
+        """Tell whether the fabric should send packets here.
+
+        A balancer that is cut off from all agents loses whatever it gets,
+        while it looks healthy to the fabric; callers would notice openings
+        that time out for as long as the cut lasts.
+        """
+        if not self._knowledge.usable or self._leaving:
+            return False
+        agents = self._mesh.agents()
+        return not agents or any(not agent.silent(now) for agent in agents)
 
     @property
     def flows_remembered(self) -> int:
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -12,7 +12,7 @@
 
 from teaseldock.packets import control
 
-#: Seconds between two heartbeats of a balancer to another one, and to an agent.
+#: Seconds between two heartbeats of a balancer to another, and to an agent.
 #: Three and two fit into SILENT_S. With 98 agents and 26 balancers: 15 KB/s.
 BALANCER_INTERVAL_S = 0.4
 TO_AGENT_INTERVAL_S = 0.6
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -290,3 +290,25 @@
     world.run(0.5)
     assert request.outcome == 'answered'
     assert not world.resets
+
+
+def test_a_balancer_without_agents_asks_for_no_packets() -> None:
+    """Callers' openings die at a balancer that is cut off.
+
+    Symptom: a share of openings times out for as long as a cut lasts.
+    Events: one balancer loses its links to all other processes, while the
+    fabric still reaches it.
+    Cause: it said that it is ready, for it knew the configuration.
+    """
+    world = packet_world.small_world()
+    for host in list(world.processes):
+        world.cut.add(frozenset(('10.0.0.2', host)))
+    world.run(3.0)
+    assert not world.processes['10.0.0.2'].node.ready(world.now)
+    requests = [world.request(tries=1) for _ in range(60)]
+    world.run(1.0)
+    assert all(item.outcome == 'answered' for item in requests)
+    assert max(item.latency_s for item in requests) < 0.2
+    world.cut.clear()
+    world.run(1.0)
+    assert world.processes['10.0.0.2'].node.ready(world.now)
