Keep targets whose entries expired in an outage for the two seconds they have

Cause: entries expire while the store is away; that is seen when it returns, and servers write them again within two seconds. Until then every opening was refused for lack of a target, and agents fell back to one slot.

Change: for 10 s after anybody's failed call, an entry that vanished without a drain stays usable for two seconds if its agent is heard. Otherwise a missing entry is gone at once, as before. Agents keep their slots.

--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -30,6 +30,9 @@
 FLOW_IDLE_S = 15.0
 #: Questions about flows kept until the server has shown whether it holds them.
 PROBES_KEPT = 1000
+#: Slots assumed before the server's entry is known: one request at a time is
+#: what every server can do.
+UNKNOWN_SLOTS = 1
 _NO_TOKEN = bytes(4)
 
 
@@ -60,6 +63,7 @@
         self._tracker = tracking.Tracker(now)
         self._queue = dispatching.RequestQueue()
         self._served_identifier = ''
+        self._slots = UNKNOWN_SLOTS
         self._server_seen_start = False
         self._began = now
         self._probes: collections.OrderedDict[bytes, str] = (
@@ -96,8 +100,7 @@
 
     def _server_load(self, now: float) -> load.Load:
         target = self.own_target
-        slots = target.slots if target else 1
-        current = self._tracker.load(slots, now)
+        current = self._tracker.load(self._slots, now)
         if self._leaving or (target is not None and target.draining):
             current = current._replace(accepting=False)
         return current
@@ -107,14 +110,13 @@
         """Return the requests at the backend server and those that wait."""
         return self._queue
 
-    @property
-    def _slots(self) -> int:
-        target = self.own_target
-        return target.slots if target else 1
-
     def _on_knowledge(self, now: float) -> None:
         target = self.own_target
-        if target is None or target.identifier == self._served_identifier:
+        if target is None:
+            # Its entry expired; the slots stay what they were.
+            return
+        self._slots = target.slots
+        if target.identifier == self._served_identifier:
             return
         if self._served_identifier:
             # Another run of the server: what the last one had is lost.
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -273,6 +273,12 @@
             for target in self._knowledge.of_service(service)
             if not target.draining
         ]
+        if self._mesh.recent_outage(now):
+            targets += [
+                target
+                for target in self._knowledge.lapsed_of(service, now)
+                if not self._is_silent(target, now)
+            ]
         alive = [
             target for target in targets if not self._is_silent(target, now)
         ]
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -15,9 +15,8 @@
 #: Removals remembered for peers that lag; a peer that lags further gets all
 #: entries. Ten times the largest fleet of targets that one process serves.
 REMOVALS_KEPT = 600
-#: Seconds for which an entry that vanished without a drain stays usable while
-#: its agent still hears the server. Entries lapse while the store is away
-#: and are written again within about two seconds of its return.
+#: Seconds for which an entry that vanished without a drain stays usable: the
+#: users' two seconds until a missing entry counts as gone.
 LAPSE_GRACE_S = 2.0
 #: Seconds for which a vanished target may still hold flows.
 VANISHED_KEPT_S = 20.0
@@ -49,6 +48,7 @@
         self._routes: dict[bytes, records.Route] = {}
         self._revision = 0
         self._content_revision = 0
+        self._hosts: set[str] = set()
         self._removals_since = 0
         self._changed_at = 0.0
 
@@ -108,6 +108,24 @@
             and now - item.at < VANISHED_KEPT_S
         ]
 
+    def lapsed_of(self, service: str, now: float) -> list[records.Target]:
+        """Return targets whose entries expired a moment ago.
+
+        Entries expire while the store is away, and servers write them again
+        within about two seconds of its return. Without this all targets of a
+        service are gone for that time, though they serve. For use after an
+        outage only: otherwise a missing entry is gone. A target that said
+        that it leaves, or that has a successor at its address, has not
+        expired.
+        """
+        return [
+            item.target
+            for item in self.vanished_of(service, now)
+            if now - item.at < LAPSE_GRACE_S
+            and not item.target.draining
+            and item.target.host not in self._hosts
+        ]
+
     def apply(self, changes: records.Changes, now: float) -> bool:
         """Take over changes; tell whether anything was new.
 
@@ -186,6 +204,7 @@
         for target in self._targets.values():
             services.setdefault(target.service, []).append(target)
         self._services = services
+        self._hosts = {target.host for target in self._targets.values()}
         self._vanished = {
             name: item
             for name, item in self._vanished.items()
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -56,6 +56,9 @@
 #: Seconds until changes are sent again to a process that still lacks them: a
 #: heartbeat that tells of the new revision comes within IDLE_INTERVAL_S.
 RESEND_S = 0.6
+#: Seconds for which an outage of the store is remembered: entries that expire
+#: within them may do so for want of the store, three heartbeats after it went.
+OUTAGE_MEMORY_S = 10.0
 #: Balancers named in a heartbeat; bounds its length.
 BALANCERS_NAMED = 24
 _RANK_KEY = b'teaseldock-read2'
@@ -117,6 +120,7 @@
         self._started = now
         self._confirmed_at: float | None = None
         self._store_failing = False
+        self._outage_at: float | None = None
         self.learn_seeds(seeds, now)
 
     @property
@@ -129,6 +133,12 @@
         """Tell whether this process's calls to the store fail."""
         return self._store_failing
 
+    def recent_outage(self, now: float) -> bool:
+        """Tell whether calls to the store failed lately, anybody's."""
+        if self._outage_at is None:
+            return False
+        return now - self._outage_at < OUTAGE_MEMORY_S
+
     def balancers(self) -> list[Peer]:
         """Return the known balancers."""
         return [peer for peer in self._peers.values() if peer.is_balancer]
@@ -164,6 +174,8 @@
         peer.heartbeat = heartbeat
         peer.is_balancer = heartbeat.is_balancer
         peer.heard_at = now
+        if heartbeat.store_failing:
+            self._outage_at = now
         for host in heartbeat.balancers:
             if host != self._host:
                 self._learn(host, is_balancer=True, now=now)
@@ -182,8 +194,9 @@
         self._store_failing = False
         return regained
 
-    def store_failed(self) -> bool:
+    def store_failed(self, now: float) -> bool:
         """Note a failed call; tell whether it is the first in a row."""
+        self._outage_at = now
         lost = not self._store_failing
         self._store_failing = True
         return lost
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -233,7 +233,7 @@
     def store_failed(self, problem: str, now: float) -> None:
         """Note a call to the store without a usable answer."""
         self._meters.counters['store_failures'] += 1
-        if self._mesh.store_failed():
+        if self._mesh.store_failed(now):
             self._reporter.note(
                 'store lost', problem=problem, **self._flow_inputs
             )
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -179,3 +179,48 @@
     world.run(3.0)
     assert all(feed.outcome == 'answered' for feed in feeds)
     assert not world.broken()
+
+
+def test_expired_entries_stop_no_service() -> None:
+    """All targets are gone for two seconds after the store returns.
+
+    Symptom: openings are refused for lack of a target, though all serve.
+    Events: entries expire while the store is away, which is seen when it
+    returns; 1.5 s later the servers have written them again.
+    Cause: an expired entry was taken for a target that is gone.
+    """
+    world = wide_world()
+    world.store.up = False
+    world.store._wake()
+    world.run(4.0)
+    for server in world.servers.values():
+        world.store.remove(server.identifier)
+    world.store.up = True
+    world.run(0.5)
+    assert not world.processes['10.0.0.1'].node.knowledge.targets
+    requests = []
+    for _ in range(120):
+        requests.append(world.request(tries=1))
+        world.run(0.01)
+    for server in world.servers.values():
+        world.store.put(server)
+    world.run(1.0)
+    assert all(item.outcome == 'answered' for item in requests)
+    assert not world.resets
+
+
+def test_an_entry_that_stays_missing_is_gone() -> None:
+    """An expired entry gets no new flow after its two seconds."""
+    world = wide_world()
+    server = world.servers['10.0.1.1']
+    world.store.up = False
+    world.store._wake()
+    world.run(1.0)
+    world.store.remove(server.identifier)
+    world.store.up = True
+    world.run(3.3)
+    seen = len(server.opened)
+    for _ in range(100):
+        world.request()
+        world.run(0.01)
+    assert len(server.opened) == seen
