Split the balancer: hints, candidates, searches, and what is left

One guard is new: after an outage of the store, a vanished target whose agent is silent may still hold flows, as its entry may have expired for want of the store.

--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -0,0 +1,150 @@
+"""Tell which targets may get a new flow, and which may hold an old one."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from teaseldock import flow as flows
+from teaseldock.packets import placing
+from teaseldock.packets import records
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import hints
+    from teaseldock.packets import knowledge
+    from teaseldock.packets import mesh
+
+#: Placements remembered for each target; more than the reports of 0.4 s miss.
+PLACEMENTS_KEPT = 64
+
+
+class Candidates:
+    """The targets as one balancer sees them: entries, reports, own acts."""
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        processes: mesh.Mesh,
+        *,
+        data_centre: str,
+    ) -> None:
+        """Start without own acts.
+
+        :param data_centre: of the balancer.
+        """
+        self._knowledge = known
+        self._mesh = processes
+        self._data_centre = data_centre
+        self._placed: dict[str, collections.deque[float]] = {}
+        self._first_seen: dict[str, float] = {}
+        self._suspected: dict[str, float] = {}
+
+    def refresh(self, now: float) -> None:
+        """Take over changed entries."""
+        known = self._knowledge.targets
+        for identifier in known:
+            self._first_seen.setdefault(identifier, now)
+        for identifier in list(self._first_seen):
+            if identifier not in known:
+                del self._first_seen[identifier]
+                self._placed.pop(identifier, None)
+
+    def note_placed(self, target: records.Target, now: float) -> None:
+        """Note an own placement, which no report shows yet."""
+        placed = self._placed.setdefault(
+            target.identifier, collections.deque(maxlen=PLACEMENTS_KEPT)
+        )
+        placed.append(now)
+
+    def suspect(self, host: str, now: float) -> None:
+        """Note that an opening at a host had to be repeated.
+
+        It is the first sign of a dead instance, a second before its
+        heartbeats are missed; the next heartbeat disproves it.
+        """
+        self._suspected[host] = now
+
+    def is_silent(self, target: records.Target, now: float) -> bool:
+        """Tell whether the agent of a target is away or about to be."""
+        peer = self._mesh.peers.get(target.host)
+        if peer is None or peer.leaving or peer.silent(now):
+            return True
+        suspected_at = self._suspected.get(target.host, 0.0)
+        return suspected_at > (peer.heard_at or 0.0)
+
+    def near(self, flow: bytes) -> str | None:
+        """Return the data centre that a flow should stay in, if any."""
+        route = self._knowledge.route(flows.service_of(flow))
+        if route is None or route.kind != records.RequestKind.UPLOAD:
+            return None
+        return self._data_centre
+
+    def for_new_flow(
+        self, hint: hints.Hint, now: float
+    ) -> list[placing.Candidate]:
+        """Return the targets that may get a new flow."""
+        usable = [
+            self._candidate(target, now)
+            for target in self._placeable(hint.service, now)
+            if target.host not in hint.tried and target.host not in hint.denied
+        ]
+        accepting = [
+            item
+            for item in usable
+            if item.reported is None or item.reported.accepting
+        ]
+        return accepting or usable
+
+    def _placeable(self, service: str, now: float) -> list[records.Target]:
+        targets = [
+            target
+            for target in self._knowledge.of_service(service)
+            if not target.draining
+        ]
+        if self._mesh.recent_outage(now):
+            targets += [
+                target
+                for target in self._knowledge.lapsed_of(service, now)
+                if not self.is_silent(target, now)
+            ]
+        alive = [item for item in targets if not self.is_silent(item, now)]
+        return alive or targets
+
+    def _candidate(
+        self, target: records.Target, now: float
+    ) -> placing.Candidate:
+        peer = self._mesh.peers.get(target.host)
+        heartbeat = peer.heartbeat if peer else None
+        reported_at = now
+        if peer is not None and peer.heard_at is not None:
+            reported_at = peer.heard_at
+        placed = self._placed.get(target.identifier, ())
+        shown = reported_at - placing.UNREPORTED_S
+        first_seen = self._first_seen.get(target.identifier, now)
+        return placing.Candidate(
+            target,
+            heartbeat.server_load if heartbeat else None,
+            now - reported_at,
+            sum(1 for at in placed if at > shown),
+            (now - first_seen) * 1000 < target.warmup_ms,
+        )
+
+    def holders(
+        self, flow: bytes, hint: hints.Hint, now: float
+    ) -> list[records.Target]:
+        """Return the targets that may hold a flow, the likeliest first."""
+        targets = placing.ranked(
+            flow,
+            self._knowledge.of_service(hint.service),
+            near=self.near(flow),
+        )
+        targets.sort(key=lambda target: target.host not in hint.tried)
+        # A target without an entry and without an agent is gone for good,
+        # unless its entry may have expired for want of the store.
+        outage = self._mesh.recent_outage(now)
+        targets += [
+            item.target
+            for item in self._knowledge.vanished_of(hint.service, now)
+            if outage or not self.is_silent(item.target, now)
+        ]
+        return [item for item in targets if item.host not in hint.denied]
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/hints.py
@@ -0,0 +1,77 @@
+"""Remember where flows are; what is true lies with the backend servers."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import records
+    from teaseldock.packets import searching
+
+#: Flows of which a balancer remembers where they are; about 500 bytes each.
+FLOWS_REMEMBERED = 40_000
+
+
+class Place(enum.Enum):
+    """What a balancer believes of a flow."""
+
+    OPENING = 'opening'
+    HINTED = 'hinted'
+    SEARCHED = 'searched'
+    LOST = 'lost'
+
+
+class Hint:
+    """Where a balancer sends the packets of one flow.
+
+    :ivar service: the service that the flow belongs to.
+    :ivar place: what is believed of it.
+    :ivar target: where its packets go, if that is known.
+    :ivar tried: hosts that an opening was sent to without an answer so far.
+    :ivar denied: hosts whose server or agent said that it isn't there.
+    :ivar search: the search under way, if any.
+    """
+
+    __slots__ = ('service', 'place', 'target', 'tried', 'denied', 'search')
+
+    def __init__(self, service: str, place: Place) -> None:
+        """Start without a target."""
+        self.service = service
+        self.place = place
+        self.target: records.Target | None = None
+        self.tried: list[str] = []
+        self.denied: set[str] = set()
+        self.search: searching.Search | None = None
+
+
+class Hints:
+    """Hints by flow; the oldest go first."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._hints: collections.OrderedDict[bytes, Hint] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of flows remembered."""
+        return len(self._hints)
+
+    def get(self, flow: bytes) -> Hint | None:
+        """Return the hint of a flow, or None."""
+        return self._hints.get(flow)
+
+    def add(self, flow: bytes, service: str, place: Place) -> Hint:
+        """Return a new hint for a flow, in place of any older one."""
+        hint = Hint(service, place)
+        self._hints[flow] = hint
+        self._hints.move_to_end(flow)
+        if len(self._hints) > FLOWS_REMEMBERED:
+            self._hints.popitem(last=False)
+        return hint
+
+    def drop(self, flow: bytes) -> None:
+        """Forget a flow."""
+        self._hints.pop(flow, None)
