--- /dev/null
+++ b/bench/packet_costs.py
@@ -0,0 +1,144 @@
+"""Measure what the packet family costs: ``python -m bench.packet_costs``."""
+
+from __future__ import annotations
+
+import json
+import time
+import tracemalloc
+import typing
+
+from bench import packet_world
+from teaseldock import load
+from teaseldock.packets import control
+from teaseldock.packets import hints
+from teaseldock.packets import placing
+from teaseldock.packets import records
+from teaseldock.packets import tracking
+
+ROUNDS = 2000
+FLOWS = 20_000
+
+
+def seconds_each(what: typing.Callable[[int], object], rounds: int) -> float:
+    """Return the mean time of a call."""
+    began = time.perf_counter()
+    for number in range(rounds):
+        what(number)
+    return (time.perf_counter() - began) / rounds
+
+
+def bytes_each(make: typing.Callable[[int], object], count: int) -> float:
+    """Return the mean memory of what a call keeps."""
+    tracemalloc.start()
+    for number in range(count):
+        make(number)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size / count
+
+
+def target(number: int) -> records.Target:
+    """Return a target."""
+    return records.Target(
+        f'i-{number:010x}',
+        'dispatch',
+        f'10.0.{number // 250}.{number % 250 + 1}',
+        8080,
+        f'dc-{number % 4}',
+        2,
+        False,
+        0,
+        number + 1,
+    )
+
+
+def placement_us(targets: int) -> float:
+    """Return microseconds of choosing among some targets."""
+    reported = load.Load(1, 0, 2, 10, 1.0, True)
+    usable = [
+        placing.Candidate(target(number), reported, 0.1, 0, False)
+        for number in range(targets)
+    ]
+    return 1e6 * seconds_each(
+        lambda number: placing.choose(
+            number.to_bytes(12, 'big'), usable, data_centre='dc-0', bulky=False
+        ),
+        ROUNDS,
+    )
+
+
+def changes_bytes(targets: int, routes: int) -> int:
+    """Return bytes of everything a process knows, as sent to a peer."""
+    configuration = records.Configuration(
+        7,
+        9,
+        15_000,
+        [
+            packet_world.route('dispatch', port=1000 + number)
+            for number in range(routes)
+        ],
+    )
+    changes = records.Changes(
+        0, 99, [target(number) for number in range(targets)], [], configuration
+    )
+    return sum(map(len, control.pack_changes(changes)))
+
+
+def forwarding_us() -> float:
+    """Return microseconds of passing on a packet of a known flow."""
+    world = packet_world.small_world()
+    feed = world.request(feed=True)
+    world.run(1.0)
+    process = next(p for p in world.balancers() if p.node.flows_remembered)
+    item = packet_world._packet(feed.flow, length=1, sequence=1)
+    process.to_process = lambda host, datagram: None
+    return 1e6 * seconds_each(
+        lambda _: process.node.on_packet(item, world.now), ROUNDS
+    )
+
+
+def main() -> None:
+    """Print all figures as one JSON object."""
+    remembered = hints.Hints()
+    tracker = tracking.Tracker(0.0)
+    heartbeat = control.Heartbeat(
+        '10.0.0.1',
+        False,
+        1,
+        False,
+        99,
+        10,
+        False,
+        load.Load(1, 0, 2, 10, 1.0, True),
+        b'',
+    )
+    figures = {
+        'placement_us': {n: round(placement_us(n), 1) for n in (7, 45, 200)},
+        'forwarding_us': round(forwarding_us(), 1),
+        'bytes_a_hint': round(
+            bytes_each(
+                lambda n: remembered.add(
+                    n.to_bytes(12, 'big'), 'dispatch', hints.Place.HINTED
+                ),
+                FLOWS,
+            )
+        ),
+        'bytes_a_tracked_flow': round(
+            bytes_each(
+                lambda n: tracker._learn(n.to_bytes(12, 'big'), 0.0, 0.0),
+                tracking.FLOWS_TRACKED,
+            )
+        ),
+        'heartbeat_bytes': len(control.pack_heartbeat(heartbeat)),
+        'changes_bytes': {
+            f'{targets} targets, {routes} routes': changes_bytes(
+                targets, routes
+            )
+            for targets, routes in ((10, 110), (56, 240), (56, 1640))
+        },
+    }
+    print(json.dumps(figures, indent=1))
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import siphash24
@@ -39,6 +40,8 @@
 #: Seconds for which a placement counts that no report can show yet: the way
 #: to the agent, its wait for the next report, and the way back.
 UNREPORTED_S = 0.01
+#: Addresses whose text is kept, so that each is not made anew for each flow.
+ADDRESSES_KEPT = 4096
 _RANK_KEY = b'teaseldock-rank1'
 
 
@@ -61,10 +64,15 @@
 
 def rank(flow: bytes, target: records.Target) -> bytes:
     """Return the order of a target among those that a flow may be at."""
-    text = flow + f'{target.host}:{target.port}'.encode()
+    text = flow + _address_text(target.host, target.port)
     return siphash24.siphash24(text, key=_RANK_KEY).digest()
 
 
+@functools.lru_cache(maxsize=ADDRESSES_KEPT)
+def _address_text(host: str, port: int) -> bytes:
+    return f'{host}:{port}'.encode()
+
+
 def ranked(
     flow: bytes, targets: list[records.Target], *, near: str | None
 ) -> list[records.Target]:
