--- a/deploy/build.py
+++ b/deploy/build.py
@@ -39,14 +39,33 @@
 
 
 def copy_packages() -> None:
-    """Copy the project's own packages as they are now."""
+    """Copy the project's own packages as they are now.
+
+    Files that are the same stay untouched: a build beside a fleet that runs
+    from this folder must not take a module away just as a process starts.
+    """
     for name, source in PACKAGES.items():
-        shutil.rmtree(DEPS / name, ignore_errors=True)
-        shutil.copytree(
-            source,
-            DEPS / name,
-            ignore=shutil.ignore_patterns('__pycache__'),
-        )
+        wanted = {
+            path.relative_to(source)
+            for path in source.rglob('*')
+            if path.is_file() and '__pycache__' not in path.parts
+        }
+        for path in wanted:
+            copy_changed(source / path, DEPS / name / path)
+        for path in (DEPS / name).rglob('*.py'):
+            if path.relative_to(DEPS / name) not in wanted:
+                path.unlink()
+
+
+def copy_changed(source: pathlib.Path, copy: pathlib.Path) -> None:
+    """Copy one file if its content differs."""
+    content = source.read_bytes()
+    if copy.exists() and copy.read_bytes() == content:
+        return
+    copy.parent.mkdir(parents=True, exist_ok=True)
+    fresh = copy.with_suffix('.new')
+    fresh.write_bytes(content)
+    fresh.replace(copy)
 
 
 def main() -> None:
