Do not take a server that merely accepted an opening for the flow's place

Change: an agent counts a flow as held when its server sent more than the acceptance; before, it is unsure and the packet decides. Packets whose acknowledgement can't belong to the number that the server chose go back.

The new test fails without.

--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -82,6 +82,7 @@
         self._busy = 0
         self._queue: list[tuple[bytes, int]] = []
         self._sent: dict[bytes, int] = {}
+        self._starts: dict[bytes, int] = {}
 
     @property
     def identifier(self) -> str:
@@ -115,8 +116,11 @@
         if not self.up or self.silent:
             return
         if item.opening:
-            self.flows.add(item.flow)
             self.opened.append((self.world.now, item.flow))
+            if item.flow not in self.flows:
+                self.flows.add(item.flow)
+                start = self.world.random.randrange(1 << 32)
+                self._starts[item.flow] = self._sent[item.flow] = start
             self._say(item.flow, opening=True, accepting=True)
             return
         if item.flow not in self.flows:
@@ -127,6 +131,9 @@
         if item.resetting or item.closing:
             self.flows.discard(item.flow)
             return
+        if item.acknowledged != self._starts[item.flow]:
+            # The caller took another server's answer; this one waits on.
+            return
         if item.length:
             self._request(item.flow, item.sequence)
 
@@ -403,6 +410,7 @@
         self.flow = b''
         self.opened = False
         self.sequence = 0
+        self.start = 0
         self.resets = 0
         self._open()
 
@@ -456,7 +464,12 @@
     def _repeat(self, flow: bytes, sequence: int) -> None:
         if flow == self.flow and sequence == self.sequence:
             if not self.outcome:
-                self._send(flow, length=1, sequence=sequence)
+                self._send(
+                    flow,
+                    length=1,
+                    sequence=sequence,
+                    acknowledged=self.start,
+                )
 
     def receive(self, item: packet.Packet) -> None:
         """Take a packet that came to the caller."""
@@ -471,6 +484,7 @@
             return
         if item.accepting and not self.opened:
             self.opened = True
+            self.start = item.sequence
             self.sequence = 0
             self.ask()
         elif item.length and item.closing:
@@ -478,7 +492,7 @@
         elif item.length and item.acknowledged == self.sequence:
             self._end('answered')
             if not self.feed:
-                self._send(self.flow, closing=True)
+                self._send(self.flow, closing=True, acknowledged=self.start)
 
 
 class World:
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -204,6 +204,11 @@
             self._give_back(item.raw, self._tag, host, Reason.LEAVING)
             self._note_given_back(item, host, Reason.LEAVING)
             return
+        if not item.opening and not self._tracker.belongs(item):
+            self._tracker.returned(item.flow)
+            self._note_given_back(item, host, Reason.NOT_HELD)
+            self._give_back(item.raw, self._tag, host, Reason.NOT_HELD)
+            return
         if self._waits(item, host, now):
             return
         self._to_server(item, host)
@@ -277,6 +282,8 @@
             self._answer(flow, host, searching.Holding.NOT_HELD)
         elif self._tracker.holds(flow):
             self._answer(flow, host, searching.Holding.HELD)
+        elif self._tracker.half_open(flow):
+            self._answer(flow, host, searching.Holding.UNSURE)
         elif self._knows_all_flows(now):
             self._answer(flow, host, searching.Holding.NOT_HELD)
         else:
@@ -285,7 +292,7 @@
     def _on_probe(self, envelope: control.Envelope, host: str) -> None:
         """Let the server show whether it holds the flow of a packet."""
         item = self._outlet.read_packet(envelope.body)
-        if envelope.tag != self._tag:
+        if envelope.tag != self._tag or not self._tracker.belongs(item):
             self._answer(item.flow, host, searching.Holding.NOT_HELD)
             return
         self._probes[item.flow] = host
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -32,6 +32,10 @@
 #: Seconds after which callers repeat an opening, by the count that the copy
 #: carries.
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
+#: Bytes that a server sends over one flow at most: a minute of its answers.
+#: The numbers of two servers that accepted one opening differ by more, but for
+#: one pair in 256.
+FLOW_BYTES = 1 << 24
 _HALF = 1 << 31
 _WHOLE = 1 << 32
 
@@ -39,11 +43,23 @@
 class _Flow:
     """One flow as its packets show it."""
 
-    __slots__ = ('delay_s', 'asked_at', 'received', 'sent', 'seen_at')
+    __slots__ = (
+        'delay_s',
+        'start',
+        'confirmed',
+        'asked_at',
+        'received',
+        'sent',
+        'seen_at',
+    )
 
     def __init__(self, delay_s: float, now: float) -> None:
         # How long the caller had waited when the flow opened.
         self.delay_s = delay_s
+        # Number with which the server accepted it, if that was seen.
+        self.start: int | None = None
+        # Whether the server has shown that the caller took its answer.
+        self.confirmed = False
         self.asked_at: float | None = None
         # Number after the last byte that the caller has sent.
         self.received: int | None = None
@@ -96,7 +112,29 @@
 
     def holds(self, flow: bytes) -> bool:
         """Tell whether packets showed that the server holds a flow."""
-        return flow in self._flows
+        known = self._flows.get(flow)
+        return known is not None and known.confirmed
+
+    def half_open(self, flow: bytes) -> bool:
+        """Tell whether the server has accepted a flow, and no more is known.
+
+        Copies of an opening go to several servers, and all may accept; the
+        caller takes one answer.
+        """
+        known = self._flows.get(flow)
+        return known is not None and not known.confirmed
+
+    def belongs(self, item: packet.Packet) -> bool:
+        """Tell whether a caller's packet is for this server's flow.
+
+        Without this check, packets of a caller that took another server's
+        answer end here: a server may swallow them, and the balancer takes
+        that for the flow's place.
+        """
+        known = self._flows.get(item.flow)
+        if known is None or known.start is None or item.resetting:
+            return True
+        return (item.acknowledged - known.start) % _WHOLE < FLOW_BYTES
 
     def responsive(self, now: float) -> bool:
         """Tell whether the server answers openings."""
@@ -183,6 +221,10 @@
             delay_s = COPY_DELAYS_S[min(copy, len(COPY_DELAYS_S) - 1)]
             known = self._learn(item.flow, delay_s, now)
         known.seen_at = now
+        if item.accepting:
+            known.start = item.sequence
+        else:
+            known.confirmed = True
         taken_s = None
         if item.length and self._is_new(item, known.sent):
             known.sent = (item.sequence + item.length) % _WHOLE
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -315,3 +315,37 @@
     world.cut.clear()
     world.run(1.0)
     assert world.processes['10.0.0.2'].node.ready(world.now)
+
+
+def test_a_flow_that_two_servers_accepted_is_found_at_the_right_one() -> None:
+    """A flow's packets go to a server that merely accepted its opening.
+
+    Symptom: no answer on a flow whose server lives.
+    Events: an agent stands still for 0.3 s, so that a copy of an opening goes
+    to a second server; both accept; the caller takes one answer; then all
+    balancers start again and search.
+    Cause: the other agent said that its server holds the flow.
+    """
+    world = packet_world.small_world(servers=3)
+    feeds = []
+    for _ in range(4):
+        agents = [world.processes[host] for host in world.servers]
+        for agent in agents:
+            agent.paused = True
+        feeds += [world.request(feed=True) for _ in range(8)]
+        world.run(0.3)
+        for agent in agents:
+            agent.wake()
+        world.run(1.0)
+    assert all(feed.outcome == 'answered' for feed in feeds)
+    accepted = [
+        sum(feed.flow in server.flows for server in world.servers.values())
+        for feed in feeds
+    ]
+    assert max(accepted) > 1
+    for process in world.balancers():
+        world.start(process.host)
+    world.run(1.0)
+    ask_all(world, feeds, 1.0)
+    assert all(feed.outcome == 'answered' for feed in feeds)
+    assert not world.broken()
