Note the request that a search carries, so that its repetition takes no slot

An agent too young to know gave the asking packet to its server without noting the request; the balancer's repetition of it then counted as a new request and kept a slot until its timeout of 2.5 s.

Change: the request is noted as running when it asks.

Ruled out: capacity (recovered in 2 s before searches asked by a packet).

--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -191,7 +191,7 @@
             self._on_locate(envelope, host, now)
             return
         if envelope.kind == control.KIND_PROBE:
-            self._on_probe(envelope, host)
+            self._on_probe(envelope, host, now)
             return
         if envelope.kind != control.KIND_PACKET:
             self._meters.counters['dropped_not_for_agent'] += 1
@@ -242,26 +242,33 @@
     def _offer(
         self, item: packet.Packet, asked: tracking.Asked, now: float
     ) -> None:
-        route = self._knowledge.route(flows.service_of(item.flow))
-        if route is None:
-            terms = UNKNOWN_TERMS
-        elif route.kind == records.RequestKind.UPLOAD:
-            # Its bytes take longer to come than the server to use them;
-            # counted as running, uploads would leave slots idle.
+        terms = self._terms(item.flow)
+        if terms is None:
             return
-        else:
-            terms = dispatching.Terms(
-                route.aim_ms / 1000,
-                route.timeout_ms / 1000,
-                route.priority,
-                route.kind == records.RequestKind.NON_IDEMPOTENT,
-            )
         waiting = self._queue.offer(
             item.flow, terms, slots=self._slots, since=asked.since, now=now
         )
         if waiting is not None:
             self._meters.counters['requests_waited'] += 1
 
+    def _terms(self, flow: bytes) -> dispatching.Terms | None:
+        """Return the terms of a flow's requests; None for uploads.
+
+        Their bytes take longer to come than the server to use them; counted
+        as running, uploads would leave slots idle.
+        """
+        route = self._knowledge.route(flows.service_of(flow))
+        if route is None:
+            return UNKNOWN_TERMS
+        if route.kind == records.RequestKind.UPLOAD:
+            return None
+        return dispatching.Terms(
+            route.aim_ms / 1000,
+            route.timeout_ms / 1000,
+            route.priority,
+            route.kind == records.RequestKind.NON_IDEMPOTENT,
+        )
+
     def _release(self, now: float) -> None:
         """Give the requests whose turn has come to the server."""
         for item in self._queue.release(slots=self._slots, now=now):
@@ -295,8 +302,15 @@
         else:
             self._answer(flow, host, searching.Holding.UNSURE)
 
-    def _on_probe(self, envelope: control.Envelope, host: str) -> None:
-        """Let the server show whether it holds the flow of a packet."""
+    def _on_probe(
+        self, envelope: control.Envelope, host: str, now: float
+    ) -> None:
+        """Let the server show whether it holds the flow of a packet.
+
+        The packet doesn't wait for a slot. The request that it may carry is
+        noted all the same: the balancer repeats it with the flow's other
+        packets, and a repetition must not count as another request.
+        """
         item = self._outlet.read_packet(envelope.body)
         if envelope.tag != self._tag or not self._tracker.belongs(item):
             self._answer(item.flow, host, searching.Holding.NOT_HELD)
@@ -304,6 +318,10 @@
         self._probes[item.flow] = host
         if len(self._probes) > PROBES_KEPT:
             self._probes.popitem(last=False)
+        if self._tracker.from_caller(item, now) is not None:
+            terms = self._terms(item.flow)
+            if terms is not None:
+                self._queue.begin(item.flow, terms, slots=self._slots, now=now)
         self._to_server(item, host)
 
     def _answer(
--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -132,7 +132,7 @@
             item = Waiting(flow, terms, since)
             self._waiting[flow] = item
             return item
-        self._begin(flow, terms, slots, now)
+        self.begin(flow, terms, slots=slots, now=now)
         return None
 
     def hold(self, flow: bytes, packet: typing.Any) -> bool:
@@ -143,9 +143,10 @@
         item.packets.append(packet)
         return True
 
-    def _begin(
-        self, flow: bytes, terms: Terms, slots: int, now: float
+    def begin(
+        self, flow: bytes, terms: Terms, *, slots: int, now: float
     ) -> None:
+        """Note a request that is given to the server at once."""
         # One that queues in the server would make it look slow.
         timed = len(self._running) < slots
         self._running[flow] = _Running(now, timed, terms.timeout_s)
@@ -178,7 +179,7 @@
                 self._waiting.values(), key=lambda item: self._order(item, now)
             )
             del self._waiting[item.flow]
-            self._begin(item.flow, item.terms, slots, now)
+            self.begin(item.flow, item.terms, slots=slots, now=now)
             released.append(item)
         return released
 
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -258,3 +258,30 @@
     assert not world.broken()
     late = [feed for feed in feeds if feed.latency_s > 1.0]
     assert len(late) < 60
+
+
+def test_a_request_that_asked_takes_one_slot() -> None:
+    """Servers look busy for seconds after every process was killed.
+
+    Symptom: requests are given up in the queue of an idle server.
+    Events: all processes are killed; a caller's request asks who holds its
+    flow; the server runs it and answers; the balancer then sends the packets
+    that it kept, the same request among them.
+    Cause: the agent had not noted the request that asked, took the repetition
+    for a new one, and kept a slot for it until its timeout.
+    """
+    world = packet_world.small_world(servers=2)
+    feeds = [world.request(feed=True) for _ in range(12)]
+    world.run(1.0)
+    for host in list(world.processes):
+        world.start(host)
+    world.run(0.3)
+    for feed in feeds:
+        feed.ask()
+        world.run(0.05)
+    world.run(0.5)
+    assert all(feed.outcome == 'answered' for feed in feeds)
+    for host in world.servers:
+        agent = world.processes[host].node
+        assert agent.queue.running == 0
+        assert agent.tracker.asked == 0
