--- /dev/null
+++ b/bench/packet_caller.py
@@ -0,0 +1,121 @@
+"""Fake a caller: requests with copies, repetitions and further tries."""
+
+from __future__ import annotations
+
+import typing
+
+from bench import packet_codec
+
+if typing.TYPE_CHECKING:
+    from bench import packet_world
+    from teaseldock.packets import packet
+
+#: Seconds after which a caller repeats an opening, and gives it up.
+OPENING_COPIES_S = (0.2, 0.6)
+OPENING_S = 1.4
+#: Seconds after which data without acknowledgement is repeated.
+REPEATS_S = (0.2, 0.6, 1.4, 3.0)
+
+
+class Request:
+    """One request of a caller, over all its tries.
+
+    :ivar outcome: ``''`` while it runs, else ``answered`` or ``failed``.
+    """
+
+    def __init__(
+        self, world: packet_world.World, *, feed: bool, tries: int
+    ) -> None:
+        """Begin."""
+        self.world = world
+        self.began = world.now
+        self.ended = 0.0
+        self.outcome = ''
+        self.feed = feed
+        self.tries = tries
+        self.flow = b''
+        self.opened = False
+        self.sequence = 0
+        self.start = 0
+        self.resets = 0
+        self._open()
+
+    @property
+    def latency_s(self) -> float:
+        """Return how long the caller waited."""
+        return self.ended - self.began
+
+    def _open(self) -> None:
+        self.tries -= 1
+        self.flow = self.world.new_flow(self)
+        self.opened = False
+        flow = self.flow
+        self._send(flow, opening=True)
+        for number, delay in enumerate(OPENING_COPIES_S, 1):
+            self.world.after(delay, lambda n=number: self._copy(flow, n))
+        self.world.after(OPENING_S, lambda: self._give_up(flow))
+
+    def _send(self, flow: bytes, **fields: typing.Any) -> None:
+        self.world.from_caller(packet_codec.made(flow, **fields))
+
+    def _copy(self, flow: bytes, number: int) -> None:
+        if flow == self.flow and not self.opened and not self.outcome:
+            self._send(flow, opening=True, acknowledged=number)
+
+    def _give_up(self, flow: bytes) -> None:
+        if flow == self.flow and not self.opened:
+            self._retry()
+
+    def _retry(self) -> None:
+        if self.outcome:
+            return
+        if self.tries <= 0:
+            self._end('failed')
+            return
+        self._open()
+
+    def _end(self, outcome: str) -> None:
+        self.outcome = outcome
+        self.ended = self.world.now
+
+    def ask(self) -> None:
+        """Send the request over the open flow, until it is acknowledged."""
+        self.began = self.began if not self.outcome else self.world.now
+        self.outcome = ''
+        self.sequence += 1
+        flow, sequence = self.flow, self.sequence
+        for delay in (0.0, *REPEATS_S):
+            self.world.after(delay, lambda: self._repeat(flow, sequence))
+
+    def _repeat(self, flow: bytes, sequence: int) -> None:
+        if flow == self.flow and sequence == self.sequence:
+            if not self.outcome:
+                self._send(
+                    flow,
+                    length=1,
+                    sequence=sequence,
+                    acknowledged=self.start,
+                )
+
+    def receive(self, item: packet.Packet) -> None:
+        """Take a packet that came to the caller."""
+        if item.flow != self.flow or self.outcome:
+            return
+        if item.resetting:
+            self.resets += 1
+            if self.opened and not self.feed:
+                self._end('failed')
+                return
+            self._retry()
+            return
+        if item.accepting and not self.opened:
+            self.opened = True
+            self.start = item.sequence
+            self.sequence = 0
+            self.ask()
+        elif item.length and item.closing:
+            self._retry()
+        elif item.length and item.acknowledged == self.sequence:
+            self._end('answered')
+            if not self.feed:
+                self._send(self.flow, closing=True, acknowledged=self.start)
--- /dev/null
+++ b/bench/packet_codec.py
@@ -0,0 +1,30 @@
+"""Encode packets for the world of :mod:`bench.packet_world`."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from teaseldock.packets import packet
+
+_ENCODE = msgspec.msgpack.Encoder().encode
+_DECODE = msgspec.msgpack.Decoder(packet.Packet).decode
+
+
+def read(raw: bytes) -> packet.Packet:
+    """Return the packet that was encoded."""
+    return _DECODE(raw)._replace(raw=raw)
+
+
+def made(flow: bytes, **fields: typing.Any) -> packet.Packet:
+    """Return an encoded packet."""
+    empty = packet.Packet(
+        flow, False, False, False, False, False, 0, 0, 0, bytes(4), b''
+    )
+    return sealed(empty._replace(**fields))
+
+
+def sealed(item: packet.Packet) -> packet.Packet:
+    """Return a packet with its own encoding as raw bytes."""
+    return item._replace(raw=_ENCODE(item._replace(raw=b'')))
--- a/bench/packet_costs.py
+++ b/bench/packet_costs.py
@@ -7,6 +7,7 @@
 import tracemalloc
 import typing
 
+from bench import packet_codec
 from bench import packet_world
 from teaseldock import load
 from teaseldock.packets import control
@@ -90,7 +91,7 @@
     feed = world.request(feed=True)
     world.run(1.0)
     process = next(p for p in world.balancers() if p.node.flows_remembered)
-    item = packet_world._packet(feed.flow, length=1, sequence=1)
+    item = packet_codec.made(feed.flow, length=1, sequence=1)
     process.to_process = lambda host, datagram: None
     return 1e6 * seconds_each(
         lambda _: process.node.on_packet(item, world.now), ROUNDS
--- /dev/null
+++ b/bench/packet_server.py
@@ -0,0 +1,137 @@
+"""Fake a backend server: it takes flows and runs requests in order."""
+
+from __future__ import annotations
+
+import typing
+
+from bench import packet_codec
+from teaseldock.packets import records
+
+if typing.TYPE_CHECKING:
+    from bench import packet_world
+    from teaseldock.packets import packet
+
+
+class Server:
+    """A backend server: it takes flows and runs requests in order."""
+
+    def __init__(
+        self,
+        world: packet_world.World,
+        host: str,
+        *,
+        service: str,
+        slots: int,
+        service_s: float,
+        queue: int = 16,
+    ) -> None:
+        """Start ready and empty."""
+        self.world = world
+        self.host = host
+        self.service = service
+        self.slots = slots
+        self.service_s = service_s
+        self.queue_limit = queue
+        self.run = 0
+        self.up = True
+        self.silent = False
+        self.draining = False
+        self.flows: set[bytes] = set()
+        self.ran: list[tuple[float, bytes, int]] = []
+        self.opened: list[tuple[float, bytes]] = []
+        self._busy = 0
+        self._queue: list[tuple[bytes, int]] = []
+        self._sent: dict[bytes, int] = {}
+        self._starts: dict[bytes, int] = {}
+
+    @property
+    def identifier(self) -> str:
+        """Return the id of the present run."""
+        return f'i-{self.host}-{self.run}'
+
+    def entry(self) -> records.Target:
+        """Return what it registers."""
+        return records.Target(
+            self.identifier,
+            self.service,
+            self.host,
+            8080,
+            'dc',
+            self.slots,
+            self.draining,
+            0,
+            0,
+        )
+
+    def crash(self) -> None:
+        """Lose everything."""
+        self.up = False
+        self.run += 1
+        self.flows.clear()
+        self._queue.clear()
+        self._busy = 0
+
+    def take(self, item: packet.Packet, token: bytes) -> None:
+        """Handle a packet that its agent gives it."""
+        if not self.up or self.silent:
+            return
+        if item.opening:
+            self.opened.append((self.world.now, item.flow))
+            if item.flow not in self.flows:
+                self.flows.add(item.flow)
+                start = self.world.random.randrange(1 << 32)
+                self._starts[item.flow] = self._sent[item.flow] = start
+            self._say(item.flow, opening=True, accepting=True)
+            return
+        if item.flow not in self.flows:
+            self.world.from_server(
+                self.host, item._replace(returned=True, token=token)
+            )
+            return
+        if item.resetting or item.closing:
+            self.flows.discard(item.flow)
+            return
+        if item.acknowledged != self._starts[item.flow]:
+            # The caller took another server's answer; this one waits on.
+            return
+        if item.length:
+            self._request(item.flow, item.sequence)
+
+    def _request(self, flow: bytes, sequence: int) -> None:
+        if any(done[1:] == (flow, sequence) for done in self.ran):
+            return
+        if (flow, sequence) in self._queue:
+            return
+        if self._busy < self.slots:
+            self._begin(flow, sequence)
+        elif len(self._queue) < self.queue_limit:
+            self._queue.append((flow, sequence))
+        else:
+            self._say(flow, length=1, acknowledged=sequence, refused=True)
+
+    def _begin(self, flow: bytes, sequence: int) -> None:
+        self._busy += 1
+        self.ran.append((self.world.now, flow, sequence))
+        run = self.run
+        spread = self.world.random.uniform(0.6, 1.4)
+        self.world.after(
+            self.service_s * spread, lambda: self._end(flow, sequence, run)
+        )
+
+    def _end(self, flow: bytes, sequence: int, run: int) -> None:
+        if run != self.run:
+            return
+        self._busy -= 1
+        self._say(flow, length=100, acknowledged=sequence)
+        if self._queue:
+            self._begin(*self._queue.pop(0))
+
+    def _say(self, flow: bytes, *, refused: bool = False, **fields) -> None:
+        sequence = self._sent.get(flow, 0)
+        self._sent[flow] = sequence + fields.get('length', 0)
+        self.world.from_server(
+            self.host,
+            packet_codec.made(
+                flow, closing=refused, sequence=sequence, **fields
+            ),
+        )
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench import packet_server
 from bench import packet_world
 from teaseldock.packets import records
 
@@ -175,7 +176,7 @@
     server = world.servers['10.0.1.1']
     server.crash()
     world.store.up = False
-    taken = packet_world.Server(
+    taken = packet_server.Server(
         world, '10.0.1.1', service='tickets', slots=2, service_s=0.01
     )
     world.servers['10.0.1.1'] = taken
