Do not tell peers a revision that a read in pages does not cover

Reading how a fresh balancer learns targets showed a hole: a range of two pages (56 targets are two pages there) may hold an entry newer than the revision it covers. Its reader then told peers that newer revision, and an older change that the first page had missed was never sent to them. Ruled out: agents forgetting the flow (idle 11 s, kept 20 s), copies of the opening (accepted 6 ms after it was sent). Change: content_revision is capped by the revision that is known completely, and changes are sent up to that one. Searches also tell how long they took, in lines and histograms.

--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -63,8 +63,14 @@
 
         The store counts on while nothing that concerns us changes; comparing
         this number keeps processes from sending each other nothing.
+
+        A read in several pages may hold an entry that is newer than what the
+        read covers, while older changes of earlier pages are missing. Telling
+        that entry's revision would make peers believe that they lack nothing:
+        a target would stay unknown to them until it changes again, and the
+        flows that it holds would be reset.
         """
-        return self._content_revision
+        return min(self._content_revision, self._revision)
 
     @property
     def changed_at(self) -> float:
@@ -223,7 +229,7 @@
             configuration = None
         return records.Changes(
             revision,
-            max(self._revision, self._content_revision),
+            self._revision,
             [t for t in self._targets.values() if t.revision > revision],
             [r for r in self._removals if r.revision > revision],
             configuration,
--- a/packages/teaseldock/teaseldock/packets/locating.py
+++ b/packages/teaseldock/teaseldock/packets/locating.py
@@ -79,7 +79,7 @@
         if search is None or search.probe is None:
             return
         if search.over:
-            self._give_up(flow, hint, search)
+            self._give_up(flow, hint, search, now)
             return
         for host in search.due(now):
             if not self._budget.has_room(now):
@@ -116,7 +116,7 @@
             return
         for target in self._targets.holders(flow, hint, now):
             if target.host == host:
-                self._found(flow, hint, search, target)
+                self._found(flow, hint, search, target, now)
                 return
 
     def _found(
@@ -125,12 +125,16 @@
         hint: hints.Hint,
         search: searching.Search,
         target: records.Target,
+        now: float,
     ) -> None:
         hint.target = target
         self._end(flow, hint, hints.Place.HINTED)
+        took_ms = (now - search.began) * 1000
+        self._meters.time('search_found', took_ms)
         self._reporter.note(
             'flow found',
             flow=reporting.flow_text(flow),
+            took_ms=round(took_ms),
             host=target.host,
             target=target.identifier,
             **self._inputs(),
@@ -139,14 +143,21 @@
             self._forward(item, hint)
 
     def _give_up(
-        self, flow: bytes, hint: hints.Hint, search: searching.Search
+        self,
+        flow: bytes,
+        hint: hints.Hint,
+        search: searching.Search,
+        now: float,
     ) -> None:
         """Reset a flow that nobody holds, so that its caller comes again."""
         self._end(flow, hint, hints.Place.LOST)
         self._meters.counters['flows_lost'] += 1
+        took_ms = (now - search.began) * 1000
+        self._meters.time('search_lost', took_ms)
         self._reporter.note(
             'flow lost',
             flow=reporting.flow_text(flow),
+            took_ms=round(took_ms),
             asked=len(search.denied),
             denied_before=len(hint.denied),
             **self._inputs(),
--- a/packages/teaseldock/teaseldock/packets/searching.py
+++ b/packages/teaseldock/teaseldock/packets/searching.py
@@ -78,6 +78,11 @@
         """Return the hosts that don't hold the flow."""
         return self._denied
 
+    @property
+    def began(self) -> float:
+        """Return when the search began, seconds."""
+        return self._began
+
     @property
     def over(self) -> bool:
         """Tell whether nobody holds the flow: all were asked and said so.
--- a/tests/packets/test_knowledge.py
+++ b/tests/packets/test_knowledge.py
@@ -74,6 +74,28 @@
     assert known.revision == 5
 
 
+def test_what_a_read_in_pages_missed_reaches_peers() -> None:
+    """A target that registered during a read stays unknown to peers.
+
+    Symptom: a balancer that has restarted resets open flows of a target that
+    lives; only the process that read the store knows that target.
+    Events: the first page is read at revision 5; target a registers at 6, b
+    at 7; the second page shows b. The reader sends both pages on, then its
+    watch brings a.
+    Cause: the pages were passed on as complete up to 7, so that the peer,
+    which claimed to know all up to there, was never sent a.
+    """
+    reader, peer = knowledge.Knowledge(), knowledge.Knowledge()
+    reader.apply(records.Changes(0, 5, [target('b', 7)], [], None), 0.0)
+    peer.apply(reader.changes_since(0), 0.1)
+    assert 'b' in peer.targets
+    watched = [target('a', 6), target('b', 7)]
+    reader.apply(records.Changes(5, 7, watched, [], None), 0.2)
+    assert peer.content_revision < reader.content_revision
+    peer.apply(reader.changes_since(peer.content_revision), 0.3)
+    assert sorted(peer.targets) == ['a', 'b']
+
+
 def test_a_peer_without_history_gets_everything() -> None:
     """A peer from before our first read learns of removals.
 
