Place fewer flows at servers that fail their requests

Ruled out: health checks (priced, and these servers say that they are well). Change: an agent keeps a share of failed requests (reset by the server, unanswered, or given up by the caller while the server had them), forgets it within seconds, and reports it; placing charges a failing server up to ten requests a slot.

--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -35,6 +35,7 @@
         self.run = 0
         self.up = True
         self.silent = False
+        self.fails = False
         self.draining = False
         self.flows: set[bytes] = set()
         self.ran: list[tuple[float, bytes, int]] = []
@@ -98,6 +99,10 @@
             self._request(item.flow, item.sequence)
 
     def _request(self, flow: bytes, sequence: int) -> None:
+        if self.fails:
+            self.flows.discard(flow)
+            self._say(flow, resetting=True)
+            return
         if any(done[1:] == (flow, sequence) for done in self.ran):
             return
         if (flow, sequence) in self._queue:
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -11,6 +11,7 @@
 from teaseldock.packets import dispatching
 from teaseldock.packets import mesh
 from teaseldock.packets import node
+from teaseldock.packets import outcomes
 from teaseldock.packets import records
 from teaseldock.packets import relaying
 from teaseldock.packets import reporting
@@ -29,6 +30,8 @@
 #: Seconds after its start from which an agent has seen a packet of every flow,
 #: while no configuration names the idle timeout of flows.
 FLOW_IDLE_S = 15.0
+#: Share of failed requests above which a line tells of it: two in a row.
+FAILING_NOTED = 0.35
 #: Slots assumed before the server's entry is known: one request at a time is
 #: what every server can do.
 UNKNOWN_SLOTS = 1
@@ -65,6 +68,8 @@
         self._slots = UNKNOWN_SLOTS
         self._server_seen_start = False
         self._began = now
+        self._outcomes = outcomes.Outcomes(now)
+        self._noted_failing = False
         self._answers = answering.Answers(
             self._tracker, self._tag, self._outlet
         )
@@ -111,6 +116,24 @@
             current = current._replace(accepting=False)
         return current
 
+    def _failing(self, now: float) -> float:
+        return round(self._outcomes.failing(now), 2)
+
+    def _note_outcome(self, now: float, *, failed: bool) -> None:
+        self._outcomes.note(now, failed=failed)
+        if failed:
+            self._meters.counters['requests_failed'] += 1
+        failing = self._failing(now)
+        if (failing > FAILING_NOTED) == self._noted_failing:
+            return
+        self._noted_failing = failing > FAILING_NOTED
+        self._reporter.note(
+            'server fails requests' if self._noted_failing else 'server well',
+            failing=failing,
+            running=self._queue.running,
+            **self._flow_inputs,
+        )
+
     @property
     def queue(self) -> dispatching.RequestQueue:
         """Return the requests at the backend server and those that wait."""
@@ -134,6 +157,7 @@
                 **self._flow_inputs,
             )
             self._queue.clear()
+            self._outcomes.clear()
             self._server_seen_start = True
         self._served_identifier = target.identifier
 
@@ -154,7 +178,10 @@
     def tick(self, now: float) -> None:
         """Do what is due."""
         super().tick(now)
-        for item in self._queue.expire(now):
+        expired = self._queue.expire(now)
+        for _ in range(expired.running):
+            self._note_outcome(now, failed=True)
+        for item in expired.waiting:
             self._meters.counters['waited_in_vain'] += 1
             self._reporter.note(
                 'request given up',
@@ -237,6 +264,9 @@
     def _waits(self, item: packet.Packet, host: str, now: float) -> bool:
         """Tell whether a packet is kept until its request gets a slot."""
         asked = self._tracker.from_caller(item, now)
+        if item.resetting and self._queue.is_running(item.flow):
+            # The caller has given up a request that the server has.
+            self._note_outcome(now, failed=True)
         if item.resetting or item.closing:
             self._queue.drop(item.flow)
             self._release(now)
@@ -349,9 +379,12 @@
         self._meters.counters['packets_out'] += 1
         self._outlet.to_caller(item)
         self._answers.shown(item.flow, searching.Holding.HELD)
+        if item.resetting and self._tracker.awaits(item.flow):
+            self._note_outcome(now, failed=True)
         taken_s = self._tracker.from_server(item, now)
         if taken_s is not None:
             self._meters.time('request', taken_s * 1000)
+            self._note_outcome(now, failed=False)
             self._queue.finish(item.flow, now)
             self._release(now)
         if item.resetting or item.closing:
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -127,6 +127,7 @@
             now - reported_at,
             sum(1 for at in placed if at > shown),
             (now - first_seen) * 1000 < target.warmup_ms,
+            heartbeat.failing if heartbeat else 0.0,
         )
 
     def holders(self, flow: bytes, hint: hints.Hint, now: float) -> list[str]:
--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -79,6 +79,17 @@
     timeout_s: float
 
 
+class Expired(typing.NamedTuple):
+    """Requests whose callers have given up.
+
+    :ivar waiting: those that never went to the server.
+    :ivar running: number of those that the server never answered.
+    """
+
+    waiting: list[Waiting]
+    running: int
+
+
 class RequestQueue:
     """Requests of all flows of one server, those at it and those waiting."""
 
@@ -193,8 +204,8 @@
                 return (0, item.terms.priority, timeout_at)
         return (2, item.terms.priority, timeout_at)
 
-    def expire(self, now: float) -> list[Waiting]:
-        """Drop what callers have given up; return what waited here.
+    def expire(self, now: float) -> Expired:
+        """Drop and return what callers have given up.
 
         A server that lost a request never answers it. Without this its slot
         would stay taken for good, and after a few such requests nothing would
@@ -214,4 +225,4 @@
         ]
         for item in given_up:
             del self._waiting[item.flow]
-        return given_up
+        return Expired(given_up, len(lost))
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -161,6 +161,10 @@
         """Return the load of this process's backend server, if it has one."""
         return None
 
+    def _failing(self, now: float) -> float:
+        """Return the share of requests that its backend server failed."""
+        return 0.0
+
     def leave(self, now: float) -> None:
         """Begin a graceful stop; a second call changes nothing."""
         if self._leaving:
@@ -307,6 +311,7 @@
             self._mesh.store_failing,
             self._server_load(now),
             b'',
+            self._failing(now),
         )
         named = control.pack_hosts(self._mesh.named_balancers(now))
         plain = control.pack_heartbeat(heartbeat)
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -37,6 +37,12 @@
 #: Share of its slots that a target is worth while it warms up; it then takes
 #: 1.6 times as long.
 WARMING_SHARE = 0.6
+#: Requests per slot that a server which fails everything is charged, less in
+#: proportion. A failed request costs its caller at least another attempt, and
+#: a request that can't be repeated is lost; ten waiting requests of 30 to 70
+#: ms cost no more than the latency objective. So such a server still gets new
+#: flows when all others are worse.
+FAILING_COST = 10.0
 #: Seconds for which a placement counts that no report can show yet: the way
 #: to the agent, its wait for the next report, and the way back.
 UNREPORTED_S = 0.01
@@ -53,6 +59,7 @@
     :ivar age_s: age of the report, seconds.
     :ivar unreported: own placements that the report can't show yet.
     :ivar warming: whether it has just started.
+    :ivar failing: share of its requests that failed lately.
     """
 
     target: records.Target
@@ -60,6 +67,7 @@
     age_s: float
     unreported: int
     warming: bool
+    failing: float = 0.0
 
 
 def rank(flow: bytes, target: records.Target) -> bytes:
@@ -104,7 +112,7 @@
         waiting += (1 - MEAN_WEIGHT) * present + MEAN_WEIGHT * reported.work
         waiting += FLOW_WEIGHT * reported.flows
     distance = 0.0 if target.data_centre == data_centre else DISTANCE_COST
-    return waiting / slots + distance
+    return waiting / slots + distance + FAILING_COST * candidate.failing
 
 
 def choose(
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -124,6 +124,11 @@
         known = self._flows.get(flow)
         return known is not None and not known.confirmed
 
+    def awaits(self, flow: bytes) -> bool:
+        """Tell whether a request of a flow has no answer yet."""
+        known = self._flows.get(flow)
+        return known is not None and known.asked_at is not None
+
     def belongs(self, item: packet.Packet) -> bool:
         """Tell whether a caller's packet is for this server's flow.
 
