Take answered requests out of the queue

The last two released before each gap were requests of flows that had been searched for: the agent had seen such a flow accepted only, gave the asking packet to its server, which ran the request that also waited in the queue. Released later, it got no second answer and kept one of two slots until its timeout. Change: an answer takes its request out of the queue; and a caller's packet that acknowledges the server's very number answers the question by itself. The new test fails before (requests running at an idle server), passes after.

--- a/packages/teaseldock/teaseldock/packets/answering.py
+++ b/packages/teaseldock/teaseldock/packets/answering.py
@@ -60,6 +60,11 @@
         if tag != self._tag or not self._tracker.belongs(item):
             self.answer(item.flow, host, searching.Holding.NOT_HELD)
             return False
+        if self._tracker.accepted(item):
+            # The server need not be asked, and its request may be waiting
+            # for a slot here.
+            self.answer(item.flow, host, searching.Holding.HELD)
+            return False
         self._probes[item.flow] = host
         if len(self._probes) > PROBES_KEPT:
             self._probes.popitem(last=False)
--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -163,7 +163,14 @@
         self._running[flow] = _Running(now, timed, terms.timeout_s)
 
     def finish(self, flow: bytes, now: float) -> float | None:
-        """Note the answer to a running request; return how long it took."""
+        """Note the answer to a request; return how long it ran.
+
+        One that still waits here was run all the same: the server had it with
+        a packet that asked who holds the flow. Released later it would get no
+        second answer and keep its slot until its timeout; after a loss of
+        power nearly all servers stood still so for 3.4 s.
+        """
+        self._waiting.pop(flow, None)
         ended = self._running.pop(flow, None)
         if ended is None:
             return None
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -124,6 +124,18 @@
         known = self._flows.get(flow)
         return known is not None and not known.confirmed
 
+    def accepted(self, item: packet.Packet) -> bool:
+        """Tell whether a caller's packet takes this server's acceptance.
+
+        Until the server has sent data, the caller acknowledges exactly the
+        number with which it accepted. Another server's number is the same in
+        one of four billion.
+        """
+        known = self._flows.get(item.flow)
+        if known is None or known.start is None or item.resetting:
+            return False
+        return (item.acknowledged - known.start) % _WHOLE <= 1
+
     def awaits(self, flow: bytes) -> bool:
         """Tell whether a request of a flow has no answer yet."""
         known = self._flows.get(flow)
--- a/tests/packets/test_relaying.py
+++ b/tests/packets/test_relaying.py
@@ -207,3 +207,32 @@
     assert lost.flows
     assert all(feed.outcome == 'answered' for feed in feeds)
     assert not world.broken()
+
+
+def test_a_request_that_waits_is_not_run_by_a_question() -> None:
+    """Nearly all servers run nothing for 3.4 s after a loss of power.
+
+    Symptom: one second of service, then none until the timeout of requests;
+    queues of 50 at idle servers.
+    Events: new flows open, and their first requests wait for a slot; the
+    fabric turns to other balancers, which search; the agent isn't sure of a
+    flow that has only been accepted, and gives the asking packet to the
+    server, which runs the request and answers. Later the request's turn comes
+    in the queue; it goes to the server again, which has nothing to answer.
+    Cause: an answered request stayed in the queue, and then kept a slot; and
+    a caller that acknowledges the server's number has shown where the flow is.
+    """
+    world = packet_world.small_world(servers=1, slots=1, service_s=0.05)
+    requests = [world.request(feed=True) for _ in range(12)]
+    world.run(0.05)
+    for process in world.balancers():
+        world.start(process.host)
+    for _ in range(15):
+        world.run(0.05)
+        requests.append(world.request(feed=True))
+    world.run(1.2)
+    [host] = world.servers
+    agent = world.processes[host].node
+    assert agent.queue.running == 0
+    assert agent.queue.waiting == 0
+    assert all(item.outcome == 'answered' for item in requests)
--- a/tests/packets/test_tracking.py
+++ b/tests/packets/test_tracking.py
@@ -114,3 +114,16 @@
     assert tracker.asked == 1
     assert tracker.from_server(made(length=9, sequence=1500), 1.4) is not None
     assert tracker.asked == 0
+
+
+def test_a_caller_shows_whose_acceptance_it_took() -> None:
+    """Only the number of this server's acceptance is taken for a proof."""
+    tracker = tracking.Tracker(0.0)
+    tracker.from_caller(made(opening=True), 0.0)
+    assert not tracker.accepted(made(acknowledged=1, length=9))
+    tracker.from_server(made(accepting=True, sequence=70_000), 0.0)
+    assert tracker.accepted(made(acknowledged=70_000, length=9))
+    assert tracker.accepted(made(acknowledged=70_001, length=9))
+    assert not tracker.accepted(made(acknowledged=69_999, length=9))
+    assert not tracker.accepted(made(acknowledged=90_000, length=9))
+    assert not tracker.accepted(made(acknowledged=70_000, resetting=True))
