Do not flood a target that has just started

'released' lines over 300 ms: 764 in ten seconds, nearly all at the servers started just before, each with 45 to 50 waiting a second after its start. Held flows counted 0.025 requests each: at 100 feeds a target all targets were 'loaded', so every new flow looked at all of them and took the one without feeds; and each of 22 balancers counted only its own placements against reports that are 0.4 s old. Ruled out: lost packets (44 of 3,284 openings were repeated), slow servers as such (two requests a slot would wait 0.2 s). Change: held flows weigh 0.01 and do not make a target loaded; unreported placements count once for each balancer.

--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -121,11 +121,17 @@
         placed = self._placed.get(target.identifier, ())
         shown = reported_at - placing.UNREPORTED_S
         first_seen = self._first_seen.get(target.identifier, now)
+        # All balancers see the same reports and take the same target for the
+        # least loaded. Had each counted its own placements only, a target that
+        # has just started would get as many flows from each of 22 balancers
+        # as from one: 50 requests waited there for up to 3 s. Reckoning that
+        # the others place alike, 9 to 12 are there at the most (test).
+        placers = len(self._mesh.balancers()) + 1
         return placing.Candidate(
             target,
             heartbeat.server_load if heartbeat else None,
             now - reported_at,
-            sum(1 for at in placed if at > shown),
+            placers * sum(1 for at in placed if at > shown),
             (now - first_seen) * 1000 < target.warmup_ms,
             heartbeat.failing if heartbeat else 0.0,
         )
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -22,7 +22,8 @@
 #: to ask. With all of seven targets free, four are as good as all.
 CANDIDATES = 4
 #: Requests per slot at which the best candidate counts as loaded, and all
-#: targets are looked at: each slot has its request.
+#: targets are looked at: each slot has its request. A target that fails its
+#: requests counts as loaded too.
 LOADED = 1.0
 #: Weight of the mean load of the last seconds against the present one. Feeds
 #: ask again and again; the present number misses those between two requests.
@@ -31,9 +32,11 @@
 #: at home saves 1 to 3 ms of a request's 30 to 80 ms and traffic between data
 #: centres.
 DISTANCE_COST = 0.1
-#: Requests per slot that a held flow adds: a feed asks about once in two
-#: seconds for some 50 ms.
-FLOW_WEIGHT = 0.025
+#: Requests that a held flow adds: a feed asks about once in six seconds for
+#: some 70 ms. It decides between targets that are equally busy, but not
+#: whether a target counts as loaded: with 100 feeds at each, all always were,
+#: so that every new flow went to the target that had started last.
+FLOW_WEIGHT = 0.01
 #: Share of its slots that a target is worth while it warms up; it then takes
 #: 1.6 times as long.
 WARMING_SHARE = 0.6
@@ -57,7 +60,8 @@
     :ivar target: its registered entry.
     :ivar reported: what its agent reported last, or None.
     :ivar age_s: age of the report, seconds.
-    :ivar unreported: own placements that the report can't show yet.
+    :ivar unreported: placements that the report can't show yet, own ones and
+        an estimate of those of other balancers.
     :ivar warming: whether it has just started.
     :ivar failing: share of its requests that failed lately.
     """
@@ -65,7 +69,7 @@
     target: records.Target
     reported: load.Load | None
     age_s: float
-    unreported: int
+    unreported: float
     warming: bool
     failing: float = 0.0
 
@@ -98,21 +102,35 @@
     )
 
 
+def _slots(candidate: Candidate) -> float:
+    share = WARMING_SHARE if candidate.warming else 1.0
+    return max(1, candidate.target.slots) * share
+
+
+def occupancy(candidate: Candidate) -> float:
+    """Return requests per slot that are at a target now."""
+    waiting = candidate.unreported
+    reported = candidate.reported
+    if reported is not None:
+        present = reported.running + reported.queued
+        waiting += (1 - MEAN_WEIGHT) * present + MEAN_WEIGHT * reported.work
+    return waiting / _slots(candidate)
+
+
 def pressure(candidate: Candidate, *, data_centre: str) -> float:
     """Return requests per slot that a new flow would meet.
 
     :param data_centre: of the balancer that places it.
     """
-    target = candidate.target
-    slots = max(1, target.slots) * (WARMING_SHARE if candidate.warming else 1)
-    waiting = float(candidate.unreported)
     reported = candidate.reported
-    if reported is not None:
-        present = reported.running + reported.queued
-        waiting += (1 - MEAN_WEIGHT) * present + MEAN_WEIGHT * reported.work
-        waiting += FLOW_WEIGHT * reported.flows
-    distance = 0.0 if target.data_centre == data_centre else DISTANCE_COST
-    return waiting / slots + distance + FAILING_COST * candidate.failing
+    flows = FLOW_WEIGHT * reported.flows if reported is not None else 0.0
+    away = candidate.target.data_centre != data_centre
+    return (
+        occupancy(candidate)
+        + flows / _slots(candidate)
+        + (DISTANCE_COST if away else 0.0)
+        + FAILING_COST * candidate.failing
+    )
 
 
 def choose(
@@ -142,6 +160,7 @@
         return pressure(item, data_centre=data_centre)
 
     best = min(ordered[:CANDIDATES], key=cost)
-    if len(ordered) <= CANDIDATES or cost(best) < LOADED:
+    busy = occupancy(best) + FAILING_COST * best.failing >= LOADED
+    if len(ordered) <= CANDIDATES or not busy:
         return best
     return min(ordered, key=cost)
