Learn under load what time a request needs

Cause: whether a request can still be in time was judged by the service time seen at a server with a free slot. Change: mean and mean deviation of the time from release to answer, of all requests; last call of guarded requests by the same measure.

--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -17,18 +17,24 @@
 #: Requests given to the server beyond its slots: the next one is there when a
 #: slot gets free, without a round trip to this process.
 AHEAD = 1
-#: A request counts as in time while it has this many times the usual service
-#: time left. Service times spread: at the mean itself, nearly half of the
-#: requests that are begun would end too late; at twice the mean, one in ten.
-MARGIN = 2.0
+#: Mean deviations that a request needs left beyond the mean time from release
+#: to answer, to count as in time. At the mean itself nearly half of those that
+#: are released end too late; with one more deviation, one in six. More would
+#: give up requests that could be served: played at 1.1 times the capacity of
+#: two slots, 0, 1, 2 and 3 deviations let 0.62, 0.64, 0.63 and 0.58 of the
+#: feeds end in time.
+DEVIATIONS = 1.0
 #: A late request that nobody would repeat goes first when it has only this
-#: many times the usual service time left until its timeout: twice what it
-#: needs itself, so that it is answered before its caller gives up.
-LAST_CALL = 4.0
+#: many times the mean time from release to answer left until its timeout:
+#: it is answered before its caller gives up, although others in the same
+#: plight go before it.
+LAST_CALL = 3.0
 #: Weight of one more observation in the mean service time.
 OBSERVED_WEIGHT = 0.1
-#: Service time assumed before the first observation, seconds.
+#: Service time assumed before the first observation, and the deviation of the
+#: time from release to answer, seconds.
 FIRST_SERVICE_S = 0.03
+FIRST_DEVIATION_S = 0.01
 #: Packets held for one request; a caller has at most 16 under way.
 PACKETS_HELD = 16
 #: Requests held. At 2 slots and 30 ms, 100 take 1.5 s, most of a deadline.
@@ -100,6 +106,10 @@
         )
         self._running: dict[bytes, _Running] = {}
         self._service_s = FIRST_SERVICE_S
+        # Mean time from release to answer, and its mean deviation. It is
+        # longer than the service time: one request waits in the server.
+        self._answer_s = FIRST_SERVICE_S
+        self._deviation_s = FIRST_DEVIATION_S
 
     @property
     def waiting(self) -> int:
@@ -175,10 +185,22 @@
         if ended is None:
             return None
         taken_s = now - ended.began
+        self._observe(taken_s)
         if ended.timed:
             self._service_s += OBSERVED_WEIGHT * (taken_s - self._service_s)
         return taken_s
 
+    def _observe(self, taken_s: float) -> None:
+        error_s = taken_s - self._answer_s
+        self._answer_s += OBSERVED_WEIGHT * error_s
+        spread_s = abs(error_s) - self._deviation_s
+        self._deviation_s += OBSERVED_WEIGHT * spread_s
+
+    @property
+    def needed_s(self) -> float:
+        """Return the time that a request needs left to end in time."""
+        return self._answer_s + DEVIATIONS * self._deviation_s
+
     def drop(self, flow: bytes) -> None:
         """Forget a request whose flow has ended."""
         self._waiting.pop(flow, None)
@@ -203,11 +225,11 @@
 
     def _order(self, item: Waiting, now: float) -> tuple[int, float, float]:
         left_s = item.since + item.terms.aim_s - now
-        if left_s >= MARGIN * self._service_s:
+        if left_s >= self.needed_s:
             return (1, item.terms.priority, left_s)
         timeout_at = item.since + item.terms.timeout_s
         if item.terms.guarded:
-            if timeout_at - now < LAST_CALL * self._service_s:
+            if timeout_at - now < LAST_CALL * self._answer_s:
                 return (0, item.terms.priority, timeout_at)
         return (2, item.terms.priority, timeout_at)
 
--- a/tests/packets/test_dispatching.py
+++ b/tests/packets/test_dispatching.py
@@ -182,3 +182,116 @@
     assert queue.waiting == dispatching.REQUESTS_HELD
     kept = [queue.hold(b'waiting0', b'') for _ in range(40)]
     assert kept.count(True) == dispatching.PACKETS_HELD
+
+
+class Recovery:
+    """One cold server with a backlog, and requests that go on coming."""
+
+    SLOTS = 2
+    SERVICE_S = 0.08
+    COLD = 2.0
+    COLD_S = 5.0
+    SECONDS = 14.0
+    SHARE = 0.72
+    BACKLOG = 50
+    ORDERS = 0.22
+    FEED = dispatching.Terms(0.512, 3.3, 2, guarded=False)
+    ORDER = dispatching.Terms(0.529, 3.3, 1, guarded=True)
+
+    def __init__(self, seed: int) -> None:
+        """Play it."""
+        self._random = random.Random(seed)
+        self._queue = dispatching.RequestQueue()
+        self._events: list = []
+        self._busy = 0
+        self._inside: list[bytes] = []
+        self._requests: dict[bytes, tuple[float, dispatching.Terms]] = {}
+        self.answered: dict[bytes, float] = {}
+        self._plan()
+        while self._events:
+            now, _, what, flow = heapq.heappop(self._events)
+            what(flow, now)
+
+    def _at(self, when: float, what: object, flow: bytes = b'') -> None:
+        heapq.heappush(self._events, (when, self._random.random(), what, flow))
+
+    def _plan(self) -> None:
+        starts = [
+            (self._random.uniform(0, 1), self._random.uniform(0.3, 2.0))
+            for _ in range(self.BACKLOG)
+        ]
+        now = 0.0
+        while now < self.SECONDS:
+            now += self._random.expovariate(
+                self.SHARE * self.SLOTS / self.SERVICE_S
+            )
+            starts.append((now, 0.01))
+        for number, (at, waited) in enumerate(starts):
+            flow = number.to_bytes(4)
+            guarded = self._random.random() < self.ORDERS
+            terms = self.ORDER if guarded else self.FEED
+            self._requests[flow] = (at - waited, terms)
+            self._at(at, self._arrive, flow)
+        for tick in range(round(20 * (self.SECONDS + 4))):
+            self._at(tick / 20, self._tick)
+
+    def _arrive(self, flow: bytes, now: float) -> None:
+        since, terms = self._requests[flow]
+        if not self._queue.offer(
+            flow, terms, slots=self.SLOTS, since=since, now=now
+        ):
+            self._give(flow, now)
+
+    def _give(self, flow: bytes, now: float) -> None:
+        if self._busy == self.SLOTS:
+            self._inside.append(flow)
+            return
+        self._busy += 1
+        mean = self.SERVICE_S * (self.COLD if now < self.COLD_S else 1.0)
+        taken = mean * self._random.lognormvariate(-0.125, 0.5)
+        self._at(now + taken, self._end, flow)
+
+    def _end(self, flow: bytes, now: float) -> None:
+        self._busy -= 1
+        self.answered[flow] = now - self._requests[flow][0]
+        if self._inside:
+            self._give(self._inside.pop(0), now)
+        self._queue.finish(flow, now)
+        self._release(now)
+
+    def _tick(self, _: bytes, now: float) -> None:
+        self._queue.expire(now)
+        self._release(now)
+
+    def _release(self, now: float) -> None:
+        for item in self._queue.release(slots=self.SLOTS, now=now):
+            self._give(item.flow, now)
+
+    def share(self, *, guarded: bool, within_s: float) -> float:
+        """Return how many of a kind were answered within a time."""
+        flows = [
+            flow
+            for flow, (_, terms) in self._requests.items()
+            if terms.guarded == guarded
+        ]
+        done = [self.answered.get(flow, 99.0) <= within_s for flow in flows]
+        return sum(done) / len(done)
+
+
+def test_cold_servers_do_not_lose_orders() -> None:
+    """Orders are lost and feeds miss their objective behind cold servers.
+
+    Symptom: after a loss of power one order in ten is never answered.
+    Events: 50 requests come back within a second, to two slots that take
+    twice as long for five seconds; 72 % of the capacity goes on coming.
+    Cause: the time that a request needs was the service time seen at a server
+    with free slots, so that under load none was seen: 30 ms in place of 250.
+
+    Mean of twelve seeds: feeds in time 0.613, orders lost 0.109 before; 0.649
+    and 0.002 after.
+    """
+    plays = [Recovery(seed) for seed in range(12)]
+    lost = [1 - play.share(guarded=True, within_s=3.3) for play in plays]
+    timely = [play.share(guarded=False, within_s=0.512) for play in plays]
+    assert sum(lost) / len(plays) < 0.02
+    assert sum(timely) / len(plays) > 0.63
