Split admission from the agent, and remove what nobody calls

Cause: agent.py had 414 lines and three jobs; on_server_gone was called by no program, as a socket that is not connected never learns of a closed port.

--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -0,0 +1,213 @@
+"""Admit requests to the backend server beside this process.
+
+It brings together what packets show (:mod:`~teaseldock.packets.tracking`), the
+order of those that wait (:mod:`~teaseldock.packets.dispatching`) and how
+requests end (:mod:`~teaseldock.packets.outcomes`).
+"""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock import flow as flows
+from teaseldock.packets import dispatching
+from teaseldock.packets import outcomes
+from teaseldock.packets import records
+from teaseldock.packets import reporting
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import knowledge
+    from teaseldock.packets import packet
+    from teaseldock.packets import tracking
+
+#: Terms of requests whose route is unknown here: an agent that knows no
+#: configuration yet must not hold anything back for long.
+UNKNOWN_TERMS = dispatching.Terms(0.15, 2.5, 0, guarded=False)
+#: Share of failed requests above which a line tells of it: two in a row.
+FAILING_NOTED = 0.35
+#: Slots assumed before the server's entry is known: one request at a time is
+#: what every server can do.
+UNKNOWN_SLOTS = 1
+
+ToServer = typing.Callable[['packet.Packet', str], None]
+Inputs = typing.Callable[[], dict[str, typing.Any]]
+
+
+class Admission:
+    """The requests of one backend server, at it and waiting for it."""
+
+    def __init__(
+        self,
+        tracker: tracking.Tracker,
+        known: knowledge.Knowledge,
+        *,
+        to_server: ToServer,
+        inputs: Inputs,
+        reporter: reporting.Reporter,
+        meters: reporting.Meters,
+        now: float,
+    ) -> None:
+        """Start without requests.
+
+        :param to_server: gives a packet to the server, with its balancer.
+        :param inputs: returns the versions that decide, for log lines.
+        """
+        self._tracker = tracker
+        self._knowledge = known
+        self._to_server = to_server
+        self._inputs = inputs
+        self._reporter = reporter
+        self._meters = meters
+        self._queue = dispatching.RequestQueue()
+        self._outcomes = outcomes.Outcomes(now)
+        self._noted_failing = False
+        self.slots = UNKNOWN_SLOTS
+
+    @property
+    def queue(self) -> dispatching.RequestQueue:
+        """Return the requests at the backend server and those that wait."""
+        return self._queue
+
+    def failing(self, now: float) -> float:
+        """Return the share of requests that failed lately."""
+        return round(self._outcomes.failing(now), 2)
+
+    def clear(self) -> None:
+        """Forget all: what the last run of the server had is lost."""
+        self._queue.clear()
+        self._outcomes.clear()
+
+    def waits(self, item: packet.Packet, host: str, now: float) -> bool:
+        """Tell whether a packet is kept until its request gets a slot."""
+        asked = self._tracker.from_caller(item, now)
+        if item.resetting and self._queue.is_running(item.flow):
+            # The caller has given up a request that the server has.
+            self._note_outcome(now, failed=True)
+        if item.resetting or item.closing:
+            self.drop(item.flow, now)
+            return False
+        if not item.length:
+            return False
+        if asked is not None and not self._queue.holds(item.flow):
+            self._offer(item, asked, now)
+        if not self._queue.holds(item.flow):
+            return False
+        if not self._queue.hold(item.flow, (item, host)):
+            self._meters.counters['dropped_waiting_packet'] += 1
+        return True
+
+    def _offer(
+        self, item: packet.Packet, asked: tracking.Asked, now: float
+    ) -> None:
+        terms = self._terms(item.flow)
+        if terms is None:
+            return
+        waiting = self._queue.offer(
+            item.flow, terms, slots=self.slots, since=asked.since, now=now
+        )
+        if waiting is not None:
+            self._meters.counters['requests_waited'] += 1
+
+    def _terms(self, flow: bytes) -> dispatching.Terms | None:
+        """Return the terms of a flow's requests; None for uploads.
+
+        Their bytes take longer to come than the server to use them; counted
+        as running, uploads would leave slots idle.
+        """
+        route = self._knowledge.route(flows.service_of(flow))
+        if route is None:
+            return UNKNOWN_TERMS
+        if route.kind == records.RequestKind.UPLOAD:
+            return None
+        return dispatching.Terms(
+            route.aim_ms / 1000,
+            route.timeout_ms / 1000,
+            route.priority,
+            route.kind == records.RequestKind.NON_IDEMPOTENT,
+        )
+
+    def note_given(self, item: packet.Packet, now: float) -> None:
+        """Note a packet that goes to the server without waiting.
+
+        The request that it may carry is noted: its flow's packets come again,
+        and a repetition must not count as another request.
+        """
+        if self._tracker.from_caller(item, now) is None:
+            return
+        terms = self._terms(item.flow)
+        if terms is not None:
+            self._queue.begin(item.flow, terms, slots=self.slots, now=now)
+
+    def from_server(self, item: packet.Packet, now: float) -> None:
+        """Note a packet of the server: an answer, or the end of a flow."""
+        if item.resetting and self._tracker.awaits(item.flow):
+            self._note_outcome(now, failed=True)
+        taken_s = self._tracker.from_server(item, now)
+        if taken_s is not None:
+            self._meters.time('request', taken_s * 1000)
+            self._note_outcome(now, failed=False)
+            self._queue.finish(item.flow, now)
+            self.release(now)
+        if item.resetting or item.closing:
+            self.drop(item.flow, now)
+
+    def returned(self, flow: bytes, now: float) -> None:
+        """Note that the server doesn't hold a flow."""
+        self._tracker.returned(flow)
+        self.drop(flow, now)
+
+    def drop(self, flow: bytes, now: float) -> None:
+        """Forget the request of a flow that has ended."""
+        self._queue.drop(flow)
+        self.release(now)
+
+    def release(self, now: float) -> None:
+        """Give the requests whose turn has come to the server."""
+        for item in self._queue.release(slots=self.slots, now=now):
+            waited_ms = (now - item.since) * 1000
+            self._meters.time('wait', waited_ms)
+            self._reporter.note(
+                'released',
+                flow=reporting.flow_text(item.flow),
+                waited_ms=round(waited_ms),
+                aim_ms=round(item.terms.aim_s * 1000),
+                priority=item.terms.priority,
+                waiting=self._queue.waiting,
+                service_ms=round(self._queue.service_s * 1000, 1),
+                needed_ms=round(self._queue.needed_s * 1000, 1),
+            )
+            for held, host in item.packets:
+                self._to_server(held, host)
+
+    def tick(self, now: float) -> None:
+        """Drop what callers have given up, and use the slots that got free."""
+        expired = self._queue.expire(now)
+        for _ in range(expired.running):
+            self._note_outcome(now, failed=True)
+        for item in expired.waiting:
+            self._meters.counters['waited_in_vain'] += 1
+            self._reporter.note(
+                'request given up',
+                flow=reporting.flow_text(item.flow),
+                waited_ms=round((now - item.since) * 1000),
+                running=self._queue.running,
+                waiting=self._queue.waiting,
+                service_ms=round(self._queue.service_s * 1000, 1),
+                **self._inputs(),
+            )
+        self.release(now)
+
+    def _note_outcome(self, now: float, *, failed: bool) -> None:
+        self._outcomes.note(now, failed=failed)
+        if failed:
+            self._meters.counters['requests_failed'] += 1
+        failing = self.failing(now)
+        if (failing > FAILING_NOTED) == self._noted_failing:
+            return
+        self._noted_failing = failing > FAILING_NOTED
+        self._reporter.note(
+            'server fails requests' if self._noted_failing else 'server well',
+            failing=failing,
+            running=self._queue.running,
+            **self._inputs(),
+        )
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -5,14 +5,11 @@
 import enum
 import typing
 
-from teaseldock import flow as flows
+from teaseldock.packets import admission
 from teaseldock.packets import answering
 from teaseldock.packets import control
-from teaseldock.packets import dispatching
 from teaseldock.packets import mesh
 from teaseldock.packets import node
-from teaseldock.packets import outcomes
-from teaseldock.packets import records
 from teaseldock.packets import relaying
 from teaseldock.packets import reporting
 from teaseldock.packets import searching
@@ -20,21 +17,15 @@
 
 if typing.TYPE_CHECKING:
     from teaseldock import load
+    from teaseldock.packets import dispatching
     from teaseldock.packets import packet
+    from teaseldock.packets import records
 
 #: Seconds between two looks for flows that have ended unseen.
 SWEEP_S = 1.0
-#: Terms of requests whose route is unknown here: an agent that knows no
-#: configuration yet must not hold anything back for long.
-UNKNOWN_TERMS = dispatching.Terms(0.15, 2.5, 0, guarded=False)
 #: Seconds after its start from which an agent has seen a packet of every flow,
 #: while no configuration names the idle timeout of flows.
 FLOW_IDLE_S = 15.0
-#: Share of failed requests above which a line tells of it: two in a row.
-FAILING_NOTED = 0.35
-#: Slots assumed before the server's entry is known: one request at a time is
-#: what every server can do.
-UNKNOWN_SLOTS = 1
 _NO_TOKEN = bytes(4)
 
 
@@ -44,7 +35,6 @@
     NOT_HELD = 0
     OTHER_SERVICE = 1
     LEAVING = 2
-    SERVER_GONE = 3
 
 
 class Agent(node.Node):
@@ -63,13 +53,18 @@
         self._port = port
         self._tag = control.service_tag(service)
         self._tracker = tracking.Tracker(now)
-        self._queue = dispatching.RequestQueue()
+        self._admission = admission.Admission(
+            self._tracker,
+            self._knowledge,
+            to_server=self._to_server,
+            inputs=lambda: self._flow_inputs,
+            reporter=self._reporter,
+            meters=self._meters,
+            now=now,
+        )
         self._served_identifier = ''
-        self._slots = UNKNOWN_SLOTS
         self._server_seen_start = False
         self._began = now
-        self._outcomes = outcomes.Outcomes(now)
-        self._noted_failing = False
         self._answers = answering.Answers(
             self._tracker, self._tag, self._outlet
         )
@@ -111,40 +106,25 @@
 
     def _server_load(self, now: float) -> load.Load:
         target = self.own_target
-        current = self._tracker.load(self._slots, now)
+        current = self._tracker.load(self._admission.slots, now)
         if self._leaving or (target is not None and target.draining):
             current = current._replace(accepting=False)
         return current
 
     def _failing(self, now: float) -> float:
-        return round(self._outcomes.failing(now), 2)
-
-    def _note_outcome(self, now: float, *, failed: bool) -> None:
-        self._outcomes.note(now, failed=failed)
-        if failed:
-            self._meters.counters['requests_failed'] += 1
-        failing = self._failing(now)
-        if (failing > FAILING_NOTED) == self._noted_failing:
-            return
-        self._noted_failing = failing > FAILING_NOTED
-        self._reporter.note(
-            'server fails requests' if self._noted_failing else 'server well',
-            failing=failing,
-            running=self._queue.running,
-            **self._flow_inputs,
-        )
+        return self._admission.failing(now)
 
     @property
     def queue(self) -> dispatching.RequestQueue:
         """Return the requests at the backend server and those that wait."""
-        return self._queue
+        return self._admission.queue
 
     def _on_knowledge(self, now: float) -> None:
         target = self.own_target
         if target is None:
             # Its entry expired; the slots stay what they were.
             return
-        self._slots = target.slots
+        self._admission.slots = target.slots
         if target.identifier == self._served_identifier:
             return
         if self._served_identifier:
@@ -153,11 +133,10 @@
                 'server restarted',
                 before=self._served_identifier,
                 target=target.identifier,
-                dropped=self._queue.running + self._queue.waiting,
+                dropped=self.queue.running + self.queue.waiting,
                 **self._flow_inputs,
             )
-            self._queue.clear()
-            self._outcomes.clear()
+            self._admission.clear()
             self._server_seen_start = True
         self._served_identifier = target.identifier
 
@@ -178,21 +157,7 @@
     def tick(self, now: float) -> None:
         """Do what is due."""
         super().tick(now)
-        expired = self._queue.expire(now)
-        for _ in range(expired.running):
-            self._note_outcome(now, failed=True)
-        for item in expired.waiting:
-            self._meters.counters['waited_in_vain'] += 1
-            self._reporter.note(
-                'request given up',
-                flow=reporting.flow_text(item.flow),
-                waited_ms=round((now - item.since) * 1000),
-                running=self._queue.running,
-                waiting=self._queue.waiting,
-                service_ms=round(self._queue.service_s * 1000, 1),
-                **self._flow_inputs,
-            )
-        self._release(now)
+        self._admission.tick(now)
         self._relay.tick(now)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_S
@@ -254,96 +219,24 @@
             self._note_given_back(item, host, Reason.NOT_HELD)
             self._give_back(item.raw, self._tag, host, Reason.NOT_HELD)
             return
-        if self._waits(item, host, now):
+        if self._admission.waits(item, host, now):
             return
         self._to_server(item, host)
 
     def _to_server(self, item: packet.Packet, host: str) -> None:
         self._outlet.to_server(item, bytes(map(int, host.split('.'))))
 
-    def _waits(self, item: packet.Packet, host: str, now: float) -> bool:
-        """Tell whether a packet is kept until its request gets a slot."""
-        asked = self._tracker.from_caller(item, now)
-        if item.resetting and self._queue.is_running(item.flow):
-            # The caller has given up a request that the server has.
-            self._note_outcome(now, failed=True)
-        if item.resetting or item.closing:
-            self._queue.drop(item.flow)
-            self._release(now)
-            return False
-        if not item.length:
-            return False
-        if asked is not None and not self._queue.holds(item.flow):
-            self._offer(item, asked, now)
-        if not self._queue.holds(item.flow):
-            return False
-        if not self._queue.hold(item.flow, (item, host)):
-            self._meters.counters['dropped_waiting_packet'] += 1
-        return True
-
-    def _offer(
-        self, item: packet.Packet, asked: tracking.Asked, now: float
-    ) -> None:
-        terms = self._terms(item.flow)
-        if terms is None:
-            return
-        waiting = self._queue.offer(
-            item.flow, terms, slots=self._slots, since=asked.since, now=now
-        )
-        if waiting is not None:
-            self._meters.counters['requests_waited'] += 1
-
-    def _terms(self, flow: bytes) -> dispatching.Terms | None:
-        """Return the terms of a flow's requests; None for uploads.
-
-        Their bytes take longer to come than the server to use them; counted
-        as running, uploads would leave slots idle.
-        """
-        route = self._knowledge.route(flows.service_of(flow))
-        if route is None:
-            return UNKNOWN_TERMS
-        if route.kind == records.RequestKind.UPLOAD:
-            return None
-        return dispatching.Terms(
-            route.aim_ms / 1000,
-            route.timeout_ms / 1000,
-            route.priority,
-            route.kind == records.RequestKind.NON_IDEMPOTENT,
-        )
-
-    def _release(self, now: float) -> None:
-        """Give the requests whose turn has come to the server."""
-        for item in self._queue.release(slots=self._slots, now=now):
-            waited_ms = (now - item.since) * 1000
-            self._meters.time('wait', waited_ms)
-            self._reporter.note(
-                'released',
-                flow=reporting.flow_text(item.flow),
-                waited_ms=round(waited_ms),
-                aim_ms=round(item.terms.aim_s * 1000),
-                priority=item.terms.priority,
-                waiting=self._queue.waiting,
-                service_ms=round(self._queue.service_s * 1000, 1),
-            )
-            for held, host in item.packets:
-                self._to_server(held, host)
-
     def _on_probe(
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
         """Let the server show whether it holds the flow of a packet.
 
-        The packet doesn't wait for a slot. The request that it may carry is
-        noted all the same: the balancer repeats it with the flow's other
-        packets, and a repetition must not count as another request.
+        The packet doesn't wait for a slot.
         """
         item = self._outlet.read_packet(envelope.body)
         if not self._answers.on_probe(item, envelope.tag, host):
             return
-        if self._tracker.from_caller(item, now) is not None:
-            terms = self._terms(item.flow)
-            if terms is not None:
-                self._queue.begin(item.flow, terms, slots=self._slots, now=now)
+        self._admission.note_given(item, now)
         self._to_server(item, host)
 
     def _refuses_openings(self) -> bool:
@@ -379,22 +272,10 @@
         self._meters.counters['packets_out'] += 1
         self._outlet.to_caller(item)
         self._answers.shown(item.flow, searching.Holding.HELD)
-        if item.resetting and self._tracker.awaits(item.flow):
-            self._note_outcome(now, failed=True)
-        taken_s = self._tracker.from_server(item, now)
-        if taken_s is not None:
-            self._meters.time('request', taken_s * 1000)
-            self._note_outcome(now, failed=False)
-            self._queue.finish(item.flow, now)
-            self._release(now)
-        if item.resetting or item.closing:
-            self._queue.drop(item.flow)
-            self._release(now)
+        self._admission.from_server(item, now)
 
     def _on_returned(self, item: packet.Packet, now: float) -> None:
-        self._tracker.returned(item.flow)
-        self._queue.drop(item.flow)
-        self._release(now)
+        self._admission.returned(item.flow, now)
         if self._answers.shown(item.flow, searching.Holding.NOT_HELD):
             return
         host = '.'.join(map(str, item.token))
@@ -405,10 +286,3 @@
         self._give_back(
             self._outlet.original(item), self._tag, host, Reason.NOT_HELD
         )
-
-    def on_server_gone(self, now: float) -> None:
-        """Note that the backend server's port is closed."""
-        if self._tracker.server_refuses():
-            self._queue.clear()
-            self._reporter.note('server gone', **self._flow_inputs)
-            self._tell(self._mesh.balancers(), now)
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -98,7 +98,6 @@
         self._unanswered: collections.OrderedDict[bytes, _Opening] = (
             collections.OrderedDict()
         )
-        self._refusing = False
 
     @property
     def flows(self) -> int:
@@ -155,21 +154,11 @@
 
     def responsive(self, now: float) -> bool:
         """Tell whether the server answers openings."""
-        if self._refusing:
-            return False
         if len(self._unanswered) < SILENT_OPENINGS:
             return True
         oldest = next(iter(self._unanswered.values()))
         return now - oldest.at < SILENT_S
 
-    def server_refuses(self) -> bool:
-        """Note that the server's port is closed; tell whether that is new."""
-        new = not self._refusing
-        self._refusing = True
-        self._flows.clear()
-        self._asked = 0
-        return new
-
     def from_caller(self, item: packet.Packet, now: float) -> Asked | None:
         """Note a packet of a caller; return a request that begins with it."""
         if item.opening:
@@ -226,7 +215,6 @@
 
         The time runs from the request's first packet to the answer's first.
         """
-        self._refusing = False
         opening = self._unanswered.get(item.flow)
         self._unanswered.clear()
         known = self._flows.get(item.flow)
