Reset no flow while others know changes that this balancer lacks

A target that joined a moment ago can hold the flow that it searches. Change: a search that ends in vain waits while any living process tells of a later revision, and looks once more who may hold the flow. Before: the new test resets the open flow of a server that lives; after: it is found.

--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -170,6 +170,11 @@
             host for host in dict.fromkeys(hosts) if host not in hint.denied
         ]
 
+    def lags(self, now: float) -> bool:
+        """Tell whether others know changes that this balancer doesn't."""
+        newest = self._mesh.newest_revision(now)
+        return newest > self._knowledge.content_revision
+
     def relays(self, flow: bytes, now: float) -> list[str]:
         """Return the agents that may ask others about a flow, in order.
 
--- a/packages/teaseldock/teaseldock/packets/locating.py
+++ b/packages/teaseldock/teaseldock/packets/locating.py
@@ -76,7 +76,7 @@
         if search is None or search.probe is None:
             return
         if search.over:
-            self._give_up(flow, hint, search, now)
+            self._end_in_vain(flow, hint, search, now)
             return
         if not self._budget.has_room(now):
             self._meters.counters['questions_delayed'] += 1
@@ -182,6 +182,26 @@
         for item in search.take_packets():
             self._forward(item, hint)
 
+    def _end_in_vain(
+        self,
+        flow: bytes,
+        hint: hints.Hint,
+        search: searching.Search,
+        now: float,
+    ) -> None:
+        """Give a flow up, if all who may hold it by now have said no.
+
+        A target may have joined that this balancer has not heard of, and hold
+        the flow. Heartbeats tell that there are changes; without waiting for
+        them the flow of a server that lives would be reset.
+        """
+        if self._targets.lags(now):
+            self._meters.counters['verdicts_delayed'] += 1
+            return
+        search.restrict(self._targets.holders(flow, hint, now))
+        if search.over:
+            self._give_up(flow, hint, search, now)
+
     def _give_up(
         self,
         flow: bytes,
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -267,6 +267,17 @@
             and (peer.sent_upto < revision or now - peer.sent_at > RESEND_S)
         ]
 
+    def newest_revision(self, now: float) -> int:
+        """Return the highest revision that any living process has told."""
+        return max(
+            (
+                peer.revision
+                for peer in self._peers.values()
+                if not peer.silent(now)
+            ),
+            default=0,
+        )
+
     def reads(self, now: float, *, leaving: bool) -> bool:
         """Tell whether this process should read the store now.
 
--- a/tests/packets/test_relaying.py
+++ b/tests/packets/test_relaying.py
@@ -236,3 +236,46 @@
     assert agent.queue.running == 0
     assert agent.queue.waiting == 0
     assert all(item.outcome == 'answered' for item in requests)
+
+
+def test_a_balancer_that_lags_resets_nothing() -> None:
+    """A flow at a new server is reset by a balancer that hasn't heard of it.
+
+    Symptom: a feed is reset a moment after it opened at a server that lives.
+    Events: a server joins; one balancer knows and places a feed there; that
+    balancer dies; the changes have not reached the one that gets the feed's
+    next packet, and all the servers that it knows say no.
+    Cause: it took what it knew for all there is, though heartbeats of others
+    told of a later revision.
+    """
+    world = packet_world.small_world(balancers=2, servers=2)
+    for host in ('10.0.1.1', '10.0.1.2'):
+        world.servers[host].draining = True
+        world.store.put(world.servers[host])
+    world.run(0.5)
+    aware, unaware = (world.processes[f'10.0.0.{n}'].node for n in (1, 2))
+    unaware._take = lambda *_: False
+    unaware.ready = lambda now: False
+    dark = frozenset(('10.0.0.2', '10.0.2.1'))
+    world.cut.add(dark)
+    new = world.add_server(
+        '10.0.2.1', service='dispatch', slots=2, service_s=0.03
+    )
+    world.run(1.5)
+    assert aware.knowledge.content_revision > (
+        unaware.knowledge.content_revision
+    )
+    feed = world.request(feed=True)
+    world.run(0.5)
+    assert feed.flow in new.flows
+    del unaware.ready
+    world.kill('10.0.0.1')
+    world.run(1.5)
+    feed.ask()
+    world.run(0.3)
+    assert not world.broken()
+    world.cut.discard(dark)
+    del unaware._take
+    world.run(3.0)
+    assert feed.outcome == 'answered'
+    assert not world.broken()
