Let the first answers of a server count for more

Cause: an agent that has just started beside a cold server took ten answers to learn that requests need 280 ms instead of 30. Change: the assumed times count for four observations. Ruled out: no prior at all (one slow answer made all that waited seem late; test_what_can_no_longer_be_in_time_waits failed).

--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -31,6 +31,9 @@
 LAST_CALL = 3.0
 #: Weight of one more observation in the mean service time.
 OBSERVED_WEIGHT = 0.1
+#: Observations that the times assumed at the start count for: with none, one
+#: slow answer would make all that waits seem late.
+ASSUMED_OBSERVATIONS = 4
 #: Service time assumed before the first observation, and the deviation of the
 #: time from release to answer, seconds.
 FIRST_SERVICE_S = 0.03
@@ -110,6 +113,7 @@
         # longer than the service time: one request waits in the server.
         self._answer_s = FIRST_SERVICE_S
         self._deviation_s = FIRST_DEVIATION_S
+        self._observed = ASSUMED_OBSERVATIONS
 
     @property
     def waiting(self) -> int:
@@ -191,10 +195,13 @@
         return taken_s
 
     def _observe(self, taken_s: float) -> None:
+        # The first answers count for more: an agent that has just started
+        # beside a cold server would take ten of them to believe it.
+        self._observed += 1
+        weight = max(OBSERVED_WEIGHT, 1 / self._observed)
         error_s = taken_s - self._answer_s
-        self._answer_s += OBSERVED_WEIGHT * error_s
-        spread_s = abs(error_s) - self._deviation_s
-        self._deviation_s += OBSERVED_WEIGHT * spread_s
+        self._answer_s += weight * error_s
+        self._deviation_s += weight * (abs(error_s) - self._deviation_s)
 
     @property
     def needed_s(self) -> float:
