Refuse an outcome without hosts; keep the slots private

An outcome without hosts would have raised IndexError at the balancer (contained as a fault, but not told as a bad message). Change: read_outcome asks for one host; a hypothesis test reads any bytes; Admission has set_slots in place of a public attribute.

--- a/packages/teaseldock/teaseldock/packets/admission.py
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -61,13 +61,22 @@
         self._queue = dispatching.RequestQueue()
         self._outcomes = outcomes.Outcomes(now)
         self._noted_failing = False
-        self.slots = UNKNOWN_SLOTS
+        self._slots = UNKNOWN_SLOTS
 
     @property
     def queue(self) -> dispatching.RequestQueue:
         """Return the requests at the backend server and those that wait."""
         return self._queue
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests the server runs at once."""
+        return self._slots
+
+    def set_slots(self, slots: int) -> None:
+        """Take over how many requests the server runs at once."""
+        self._slots = slots
+
     def failing(self, now: float) -> float:
         """Return the share of requests that failed lately."""
         return round(self._outcomes.failing(now), 2)
@@ -102,7 +111,7 @@
         if terms is None:
             return
         waiting = self._queue.offer(
-            item.flow, terms, slots=self.slots, since=asked.since, now=now
+            item.flow, terms, slots=self._slots, since=asked.since, now=now
         )
         if waiting is not None:
             self._meters.counters['requests_waited'] += 1
@@ -135,7 +144,7 @@
             return
         terms = self._terms(item.flow)
         if terms is not None:
-            self._queue.begin(item.flow, terms, slots=self.slots, now=now)
+            self._queue.begin(item.flow, terms, slots=self._slots, now=now)
 
     def from_server(self, item: packet.Packet, now: float) -> None:
         """Note a packet of the server: an answer, or the end of a flow."""
@@ -163,7 +172,7 @@
 
     def release(self, now: float) -> None:
         """Give the requests whose turn has come to the server."""
-        for item in self._queue.release(slots=self.slots, now=now):
+        for item in self._queue.release(slots=self._slots, now=now):
             waited_ms = (now - item.since) * 1000
             self._meters.time('wait', waited_ms)
             self._reporter.note(
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -124,7 +124,7 @@
         if target is None:
             # Its entry expired; the slots stay what they were.
             return
-        self._admission.slots = target.slots
+        self._admission.set_slots(target.slots)
         if target.identifier == self._served_identifier:
             return
         if self._served_identifier:
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -166,7 +166,8 @@
 
     :raises MessageError: if the bytes are none.
     """
-    if len(body) < _FLOW_BYTES or (len(body) - _FLOW_BYTES) % _HOST_BYTES:
+    hosts_bytes = len(body) - _FLOW_BYTES
+    if hosts_bytes <= 0 or hosts_bytes % _HOST_BYTES:
         raise exceptions.MessageError(
             'relayed',
             f'{len(body)} bytes hold no flow and hosts',
--- a/tests/packets/test_relaying.py
+++ b/tests/packets/test_relaying.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import hypothesis
+from hypothesis import strategies
+
 from bench import packet_codec
 from bench import packet_world
+from teaseldock import exceptions
 from teaseldock.packets import control
 from teaseldock.packets import relaying
 from teaseldock.packets import reporting
@@ -57,6 +61,20 @@
     ]
 
 
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_are_read_or_refused(body: bytes) -> None:
+    """Errands and outcomes that no process of ours sent raise one error."""
+    envelope = control.Envelope(control.KIND_RELAY, 0, TAG, body)
+    try:
+        assert control.read_errand(envelope).raw
+    except exceptions.MessageError as error:
+        assert error.code
+    try:
+        assert control.read_outcome(body).hosts
+    except exceptions.MessageError as error:
+        assert error.code
+
+
 def test_denials_are_told_together() -> None:
     """All hosts are asked at once; one datagram tells that nobody holds it."""
     relay, outlet = begun()
