Keep flows that a server has ended where they are for ten seconds

All four flows had been idle for 11 to 12 s when the packets went astray, and servers close idle flows after 12 s. The agent forgot a flow at its server's last packet and denied it from then on; a caller that asks just then, through a balancer that has to search, had its flow reset, or sought among agents that are too young to know while one was silent. Ruled out: entries that a balancer lacks (mended before, still seen after). Change: a flow that its server has ended is held for 10 s more (the server repeats its last packet for 9.4 s); what its caller sends goes to the server, which ends the flow itself. Such data is no request, and its reset no failure.

--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -38,6 +38,7 @@
         self.fails = False
         self.draining = False
         self.flows: set[bytes] = set()
+        self.ended: set[bytes] = set()
         self.ran: list[tuple[float, bytes, int]] = []
         self.opened: list[tuple[float, bytes]] = []
         self._busy = 0
@@ -72,6 +73,11 @@
         self._queue.clear()
         self._busy = 0
 
+    def end_idle(self, flow: bytes) -> None:
+        """Close a flow that has been idle; its caller does not know yet."""
+        self.ended.add(flow)
+        self._say(flow, refused=True)
+
     def take(self, item: packet.Packet, token: bytes) -> None:
         """Handle a packet that its agent gives it."""
         if not self.up or self.silent:
@@ -84,6 +90,11 @@
                 self._starts[item.flow] = self._sent[item.flow] = start
             self._say(item.flow, opening=True, accepting=True)
             return
+        if item.flow in self.ended:
+            if item.length:
+                self.flows.discard(item.flow)
+                self._say(item.flow, resetting=True)
+            return
         if item.flow not in self.flows:
             self.world.from_server(
                 self.host, item._replace(returned=True, token=token)
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -16,6 +16,10 @@
 #: Seconds after which a flow without packets counts as ended: callers give a
 #: request up after some seconds, servers close idle flows after 12 or 15.
 IDLE_S = 20.0
+#: Seconds for which a flow stays known after the server has ended it: it
+#: repeats its last packet eight times, for 9.4 s, and answers what its caller
+#: sends meanwhile.
+ENDED_S = 10.0
 #: Seconds for which a flow that is opening counts as a request: its first
 #: request is one round trip to the caller behind, 2 to 6 ms.
 OPENING_S = 0.1
@@ -92,6 +96,9 @@
         self._flows: collections.OrderedDict[bytes, _Flow] = (
             collections.OrderedDict()
         )
+        self._ended: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self._asked = 0
         self._mean = 0.0
         self._mean_at = now
@@ -110,9 +117,14 @@
         return self._asked
 
     def holds(self, flow: bytes) -> bool:
-        """Tell whether packets showed that the server holds a flow."""
+        """Tell whether packets showed that the server holds a flow.
+
+        One that it has ended counts. Its caller may be sending a request just
+        then; denied here, the flow would be reset by the system, or sought at
+        other servers, while its own would have ended it properly.
+        """
         known = self._flows.get(flow)
-        return known is not None and known.confirmed
+        return flow in self._ended or (known is not None and known.confirmed)
 
     def half_open(self, flow: bytes) -> bool:
         """Tell whether the server has accepted a flow, and no more is known.
@@ -173,7 +185,7 @@
             return None
         known = self._flows.get(item.flow)
         if known is None:
-            if not item.length:
+            if not item.length or item.flow in self._ended:
                 return None
             # This process is younger than the flow.
             known = self._learn(item.flow, 0.0, now)
@@ -219,7 +231,11 @@
         self._unanswered.clear()
         known = self._flows.get(item.flow)
         if item.resetting:
-            self.forget(item.flow)
+            self._end(item.flow, now)
+            return None
+        if item.accepting:
+            self._ended.pop(item.flow, None)
+        elif item.flow in self._ended:
             return None
         if known is None:
             copy = opening.copy if opening else 0
@@ -235,9 +251,16 @@
             known.sent = (item.sequence + item.length) % _WHOLE
             taken_s = self._answered(known, now)
         if item.closing:
-            self.forget(item.flow)
+            self._end(item.flow, now)
         return taken_s
 
+    def _end(self, flow: bytes, now: float) -> None:
+        """Note that the server has ended a flow."""
+        self.forget(flow)
+        self._ended[flow] = now
+        if len(self._ended) > FLOWS_TRACKED:
+            self._ended.popitem(last=False)
+
     def _answered(self, known: _Flow, now: float) -> float | None:
         if known.asked_at is None:
             return None
@@ -250,6 +273,7 @@
     def returned(self, flow: bytes) -> None:
         """Note that the server does not hold a flow."""
         self._unanswered.pop(flow, None)
+        self._ended.pop(flow, None)
         self.forget(flow)
 
     def forget(self, flow: bytes) -> None:
@@ -267,6 +291,11 @@
         ]
         for flow in stale:
             self.forget(flow)
+        while self._ended:
+            flow, ended_at = next(iter(self._ended.items()))
+            if now - ended_at < ENDED_S:
+                break
+            del self._ended[flow]
         while self._unanswered:
             flow, opening = next(iter(self._unanswered.items()))
             if now - opening.at < ATTEMPT_S:
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -46,6 +46,40 @@
     assert max(feed.latency_s for feed in feeds) < 0.3
 
 
+@pytest.mark.parametrize('balancers_restart', [False, True])
+def test_a_flow_that_its_server_closes_is_still_its_own(
+    balancers_restart: bool,
+) -> None:
+    """A feed that was idle is reset by the system, or sought without end.
+
+    Symptom: packets of an open flow go to a server that has just started, and
+    for seconds none to its own.
+    Events: a server closes a flow that was idle for 12 s; at that moment its
+    caller asks, through a balancer that has just started and searches.
+    Cause: the agent forgot the flow at the server's end of it, and denied it;
+    the server, which would have ended it properly, got no packet.
+    """
+    world = packet_world.small_world()
+    feeds = serve_feeds(world, 20)
+    # From now on the agents have seen all flows of their servers.
+    world.run(16.0)
+    for server in world.servers.values():
+        for flow in list(server.flows):
+            server.end_idle(flow)
+    if balancers_restart:
+        for process in world.balancers():
+            world.start(process.host)
+        world.run(0.5)
+    flows = [feed.flow for feed in feeds]
+    ask_all(world, feeds, 1.0)
+    assert not [reset for reset in world.resets if reset[1] in flows]
+    assert all(feed.resets == 1 for feed in feeds)
+    assert all(feed.outcome == 'answered' for feed in feeds)
+    for host in world.servers:
+        meters = world.processes[host].node.meters
+        assert not meters.counters['requests_failed']
+
+
 def test_feeds_outlive_all_balancers() -> None:
     """All balancers are killed at once and start without memory."""
     world = packet_world.small_world()
