Keep back a server's reset that is for another server's flow

With debug lines in a scratch copy: a copy of the opening was accepted by a second server too; its agent then got a packet that acknowledges the first server's number, gave it back, and forgot the flow. The next search asked it with a packet; it knew nothing, gave the packet to its server, and that reset the flow (its number 391,367,244, the caller's packet far from it), which the agent passed on to the caller. Change: a packet that doesn't belong no longer makes the agent forget its server's number; and a reset whose number is far from what the caller acknowledged is kept back, told, and answered as not held, for an agent that has started since the acceptance. Before: with agents that restart the extended test shows a caller reset; after: none.

--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -104,7 +104,9 @@
             self.flows.discard(item.flow)
             return
         if item.acknowledged != self._starts[item.flow]:
-            # The caller took another server's answer; this one waits on.
+            # The caller took another server's answer.
+            self.flows.discard(item.flow)
+            self._say(item.flow, resetting=True)
             return
         if item.length:
             self._request(item.flow, item.sequence)
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -215,7 +215,8 @@
             self._note_given_back(item, host, Reason.LEAVING)
             return
         if not item.opening and not self._tracker.belongs(item):
-            self._tracker.returned(item.flow)
+            # The flow stays known: an agent that forgot its server's number
+            # would let the server judge the next packet of it, by a reset.
             self._note_given_back(item, host, Reason.NOT_HELD)
             self._give_back(item.raw, self._tag, host, Reason.NOT_HELD)
             return
@@ -269,11 +270,26 @@
         if item.returned:
             self._on_returned(item, now)
             return
+        if item.resetting and self._tracker.resets_another(item):
+            self._on_foreign_reset(item, now)
+            return
         self._meters.counters['packets_out'] += 1
         self._outlet.to_caller(item)
         self._answers.shown(item.flow, searching.Holding.HELD)
         self._admission.from_server(item, now)
 
+    def _on_foreign_reset(self, item: packet.Packet, now: float) -> None:
+        self._meters.counters['foreign_resets'] += 1
+        self._reporter.note(
+            'reset kept back',
+            flow=reporting.flow_text(item.flow),
+            why='it is for another server\'s flow',
+            **self._flow_inputs,
+        )
+        self._admission.drop(item.flow, now)
+        self._tracker.learn_start(item, now)
+        self._answers.shown(item.flow, searching.Holding.NOT_HELD)
+
     def _on_returned(self, item: packet.Packet, now: float) -> None:
         self._admission.returned(item.flow, now)
         if self._answers.shown(item.flow, searching.Holding.NOT_HELD):
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -50,6 +50,7 @@
     __slots__ = (
         'delay_s',
         'start',
+        'taken',
         'confirmed',
         'asked_at',
         'received',
@@ -62,6 +63,8 @@
         self.delay_s = delay_s
         # Number with which the server accepted it, if that was seen.
         self.start: int | None = None
+        # What the caller acknowledged last, while that number isn't known.
+        self.taken: int | None = None
         # Whether the server has shown that the caller took its answer.
         self.confirmed = False
         self.asked_at: float | None = None
@@ -147,6 +150,26 @@
             return False
         return (item.acknowledged - known.start) % _WHOLE <= 1
 
+    def resets_another(self, item: packet.Packet) -> bool:
+        """Tell whether a server's reset is for a flow that isn't its own.
+
+        A server that has merely accepted an opening resets the flow when a
+        caller's packet acknowledges another server's number. Passed on, that
+        reset ends the caller's open flow at the other server. It happens when
+        this process has started since the acceptance: it then knows neither
+        number, but the reset carries the server's and the packet the caller's.
+        """
+        known = self._flows.get(item.flow)
+        if known is None or known.start is not None or known.taken is None:
+            return False
+        ahead = (item.sequence - known.taken + FLOW_BYTES) % _WHOLE
+        return ahead >= 2 * FLOW_BYTES
+
+    def learn_start(self, item: packet.Packet, now: float) -> None:
+        """Keep a server's number, so that its flow's packets go elsewhere."""
+        self.forget(item.flow)
+        self._learn(item.flow, 0.0, now).start = item.sequence
+
     def awaits(self, flow: bytes) -> bool:
         """Tell whether a request of a flow has no answer yet."""
         known = self._flows.get(flow)
@@ -189,6 +212,8 @@
                 return None
             # This process is younger than the flow.
             known = self._learn(item.flow, 0.0, now)
+        if known.start is None:
+            known.taken = item.acknowledged
         known.seen_at = now
         if not item.length or not self._is_new(item, known.received):
             return None
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -352,14 +352,20 @@
     assert world.processes['10.0.0.2'].node.ready(world.now)
 
 
-def test_a_flow_that_two_servers_accepted_is_found_at_the_right_one() -> None:
+@pytest.mark.parametrize('agents_restart', [False, True])
+def test_a_flow_that_two_servers_accepted_is_found_at_the_right_one(
+    agents_restart: bool,
+) -> None:
     """A flow's packets go to a server that merely accepted its opening.
 
-    Symptom: no answer on a flow whose server lives.
+    Symptom: no answer on a flow whose server lives, or its caller gets a
+    reset from a server that merely accepted the opening too.
     Events: an agent stands still for 0.3 s, so that a copy of an opening goes
     to a second server; both accept; the caller takes one answer; then all
-    balancers start again and search.
-    Cause: the other agent said that its server holds the flow.
+    balancers start again and search, or the agents as well.
+    Cause: the other agent said that its server holds the flow; or it had
+    forgotten its server's number, gave it the asking packet, and passed on
+    the reset that the server sent for it.
     """
     world = packet_world.small_world(servers=3)
     feeds = []
@@ -378,9 +384,13 @@
         for feed in feeds
     ]
     assert max(accepted) > 1
+    if agents_restart:
+        for host in world.servers:
+            world.start(host)
     for process in world.balancers():
         world.start(process.host)
     world.run(1.0)
     ask_all(world, feeds, 1.0)
     assert all(feed.outcome == 'answered' for feed in feeds)
+    assert not any(feed.resets for feed in feeds)
     assert not world.broken()
