Keep back resets of servers that never showed to hold the flow

Ruled out: a second acceptance (the flow opened 29 ms after its first packet). Change: a reset is kept back when no packet of the server has shown the flow; the flow is then denied for ten seconds, so that it is sought elsewhere. Before: the new test and the one of two acceptances see callers reset; after: none.

--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -36,6 +36,7 @@
         self.up = True
         self.silent = False
         self.fails = False
+        self.resets_unknown = False
         self.draining = False
         self.flows: set[bytes] = set()
         self.ended: set[bytes] = set()
@@ -95,6 +96,10 @@
                 self.flows.discard(item.flow)
                 self._say(item.flow, resetting=True)
             return
+        if item.flow not in self.flows and self.resets_unknown:
+            self._sent[item.flow] = item.acknowledged
+            self._say(item.flow, resetting=True)
+            return
         if item.flow not in self.flows:
             self.world.from_server(
                 self.host, item._replace(returned=True, token=token)
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -270,24 +270,24 @@
         if item.returned:
             self._on_returned(item, now)
             return
-        if item.resetting and self._tracker.resets_another(item):
-            self._on_foreign_reset(item, now)
+        if item.resetting and self._tracker.resets_unseen(item):
+            self._on_unseen_reset(item, now)
             return
         self._meters.counters['packets_out'] += 1
         self._outlet.to_caller(item)
         self._answers.shown(item.flow, searching.Holding.HELD)
         self._admission.from_server(item, now)
 
-    def _on_foreign_reset(self, item: packet.Packet, now: float) -> None:
-        self._meters.counters['foreign_resets'] += 1
+    def _on_unseen_reset(self, item: packet.Packet, now: float) -> None:
+        self._meters.counters['resets_kept_back'] += 1
         self._reporter.note(
             'reset kept back',
             flow=reporting.flow_text(item.flow),
-            why='it is for another server\'s flow',
+            why='the server never showed that it holds the flow',
             **self._flow_inputs,
         )
         self._admission.drop(item.flow, now)
-        self._tracker.learn_start(item, now)
+        self._tracker.deny(item.flow, now)
         self._answers.shown(item.flow, searching.Holding.NOT_HELD)
 
     def _on_returned(self, item: packet.Packet, now: float) -> None:
--- a/packages/teaseldock/teaseldock/packets/answering.py
+++ b/packages/teaseldock/teaseldock/packets/answering.py
@@ -47,7 +47,7 @@
     def _holding(
         self, flow: bytes, tag: int, knows_all: bool
     ) -> searching.Holding:
-        if tag != self._tag:
+        if tag != self._tag or self._tracker.denies(flow):
             return searching.Holding.NOT_HELD
         if self._tracker.holds(flow):
             return searching.Holding.HELD
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -16,7 +16,8 @@
 #: Seconds after which a flow without packets counts as ended: callers give a
 #: request up after some seconds, servers close idle flows after 12 or 15.
 IDLE_S = 20.0
-#: Seconds for which a flow stays known after the server has ended it: it
+#: Seconds for which a flow stays known after the server has ended it, or has
+#: shown that it isn't its own: it
 #: repeats its last packet eight times, for 9.4 s, and answers what its caller
 #: sends meanwhile.
 ENDED_S = 10.0
@@ -50,7 +51,6 @@
     __slots__ = (
         'delay_s',
         'start',
-        'taken',
         'confirmed',
         'asked_at',
         'received',
@@ -63,8 +63,6 @@
         self.delay_s = delay_s
         # Number with which the server accepted it, if that was seen.
         self.start: int | None = None
-        # What the caller acknowledged last, while that number isn't known.
-        self.taken: int | None = None
         # Whether the server has shown that the caller took its answer.
         self.confirmed = False
         self.asked_at: float | None = None
@@ -102,6 +100,9 @@
         self._ended: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
+        self._denied: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
         self._asked = 0
         self._mean = 0.0
         self._mean_at = now
@@ -150,25 +151,31 @@
             return False
         return (item.acknowledged - known.start) % _WHOLE <= 1
 
-    def resets_another(self, item: packet.Packet) -> bool:
-        """Tell whether a server's reset is for a flow that isn't its own.
+    def resets_unseen(self, item: packet.Packet) -> bool:
+        """Tell whether a server resets a flow that it never showed to hold.
 
-        A server that has merely accepted an opening resets the flow when a
-        caller's packet acknowledges another server's number. Passed on, that
-        reset ends the caller's open flow at the other server. It happens when
-        this process has started since the acceptance: it then knows neither
-        number, but the reset carries the server's and the packet the caller's.
+        A server that has merely accepted an opening resets the flow when its
+        caller acknowledges another server's number, and one that has just
+        started resets whatever it doesn't know. Passed on, that reset ends a
+        flow that is open at another server; it carries the very numbers that
+        the caller expects. What tells it apart is that no packet of the
+        server has shown the flow before.
         """
         known = self._flows.get(item.flow)
-        if known is None or known.start is not None or known.taken is None:
+        if item.flow in self._ended:
             return False
-        ahead = (item.sequence - known.taken + FLOW_BYTES) % _WHOLE
-        return ahead >= 2 * FLOW_BYTES
+        return known is None or (known.start is None and not known.confirmed)
+
+    def deny(self, flow: bytes, now: float) -> None:
+        """Note that a flow is none of the server's, whatever it answers."""
+        self.forget(flow)
+        self._denied[flow] = now
+        if len(self._denied) > FLOWS_TRACKED:
+            self._denied.popitem(last=False)
 
-    def learn_start(self, item: packet.Packet, now: float) -> None:
-        """Keep a server's number, so that its flow's packets go elsewhere."""
-        self.forget(item.flow)
-        self._learn(item.flow, 0.0, now).start = item.sequence
+    def denies(self, flow: bytes) -> bool:
+        """Tell whether a flow is known to be none of the server's."""
+        return flow in self._denied
 
     def awaits(self, flow: bytes) -> bool:
         """Tell whether a request of a flow has no answer yet."""
@@ -182,6 +189,8 @@
         answer end here: a server may swallow them, and the balancer takes
         that for the flow's place.
         """
+        if item.flow in self._denied:
+            return False
         known = self._flows.get(item.flow)
         if known is None or known.start is None or item.resetting:
             return True
@@ -212,8 +221,6 @@
                 return None
             # This process is younger than the flow.
             known = self._learn(item.flow, 0.0, now)
-        if known.start is None:
-            known.taken = item.acknowledged
         known.seen_at = now
         if not item.length or not self._is_new(item, known.received):
             return None
@@ -260,6 +267,7 @@
             return None
         if item.accepting:
             self._ended.pop(item.flow, None)
+            self._denied.pop(item.flow, None)
         elif item.flow in self._ended:
             return None
         if known is None:
@@ -316,11 +324,12 @@
         ]
         for flow in stale:
             self.forget(flow)
-        while self._ended:
-            flow, ended_at = next(iter(self._ended.items()))
-            if now - ended_at < ENDED_S:
-                break
-            del self._ended[flow]
+        for remembered in (self._ended, self._denied):
+            while remembered:
+                flow, since = next(iter(remembered.items()))
+                if now - since < ENDED_S:
+                    break
+                del remembered[flow]
         while self._unanswered:
             flow, opening = next(iter(self._unanswered.items()))
             if now - opening.at < ATTEMPT_S:
--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -394,3 +394,33 @@
     assert all(feed.outcome == 'answered' for feed in feeds)
     assert not any(feed.resets for feed in feeds)
     assert not world.broken()
+
+
+def test_a_new_server_that_resets_what_it_does_not_know() -> None:
+    """An open flow is reset by a server that has just started.
+
+    Symptom: a caller's flow is reset 1 ms after it opened at another server.
+    Events: the fabric turns to a balancer that searches; an agent that is as
+    young as its server can't tell, and gives it the asking packet; the server
+    resets it in place of returning it, with the numbers that the caller
+    expects; the agent passes the reset on.
+    Cause: any packet of the server was taken to be for a flow that it holds.
+    """
+    world = packet_world.small_world(servers=6)
+    feeds = serve_feeds(world, 40)
+    for number in range(3):
+        server = world.add_server(
+            f'10.0.2.{number + 1}',
+            service='dispatch',
+            slots=2,
+            service_s=0.03,
+        )
+        server.resets_unknown = True
+    for process in world.balancers():
+        world.start(process.host)
+    world.run(0.5)
+    ask_all(world, feeds, 1.0)
+    assert world.events('reset kept back')
+    assert all(feed.outcome == 'answered' for feed in feeds)
+    assert not any(feed.resets for feed in feeds)
+    assert not world.broken()
