--- a/packages/teaseldock/teaseldock/packets/outcomes.py
+++ b/packages/teaseldock/teaseldock/packets/outcomes.py
@@ -3,8 +3,8 @@
 The load it answers: a server that resets or never answers its requests while
 it accepts new flows at once. To whoever places by load it looks idle, since
 failing takes no time, and so it draws most of the new flows: six of 45 such
-servers took a quarter of all requests for six seconds. Health checks do not
-help: such a server may well say that it is healthy.
+servers reset 3,105 of 34,859 requests of a day within six seconds of it.
+Health checks do not help: such a server may well say that it is healthy.
 """
 
 from __future__ import annotations
