Test a server that starts again under its identifier, and entries over good ones

Cause guarded against: an identifier was taken for a run. With the same id and another `born`, an agent kept its queue, its slots and the flows of the former run.

--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -33,6 +33,7 @@
         self.service_s = service_s
         self.queue_limit = queue
         self.run = 0
+        self.born_ms = 1
         self.up = True
         self.silent = False
         self.fails = False
@@ -64,12 +65,15 @@
             self.draining,
             0,
             0,
+            self.born_ms,
         )
 
-    def crash(self) -> None:
-        """Lose everything."""
+    def crash(self, *, keeps_identifier: bool = False) -> None:
+        """Lose everything; the next run begins when it is up again."""
         self.up = False
-        self.run += 1
+        self.born_ms += 1000
+        if not keeps_identifier:
+            self.run += 1
         self.flows.clear()
         self._queue.clear()
         self._busy = 0
@@ -135,14 +139,14 @@
     def _begin(self, flow: bytes, sequence: int) -> None:
         self._busy += 1
         self.ran.append((self.world.now, flow, sequence))
-        run = self.run
+        born_ms = self.born_ms
         spread = self.world.random.uniform(0.6, 1.4)
         self.world.after(
-            self.service_s * spread, lambda: self._end(flow, sequence, run)
+            self.service_s * spread, lambda: self._end(flow, sequence, born_ms)
         )
 
-    def _end(self, flow: bytes, sequence: int, run: int) -> None:
-        if run != self.run:
+    def _end(self, flow: bytes, sequence: int, born_ms: int) -> None:
+        if born_ms != self.born_ms:
             return
         self._busy -= 1
         self._say(flow, length=100, acknowledged=sequence)
