Revert the overflow to a route's other service: it gains nothing

Setting the operator's weights aside needs a gain; there is none.

What the runs show instead: the service time that agents know stays at the first answers' (45 ms beside servers that take 100), and requests wait until they are at the edge of their objective.

--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -121,9 +121,6 @@
     def _failing(self, now: float) -> float:
         return self._admission.failing(now)
 
-    def _service_s(self) -> float:
-        return round(self.queue.service_s, 3)
-
     def _holdings(self, now: float) -> holdings.Holdings:
         moved = [
             address
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -12,7 +12,6 @@
 from teaseldock.packets import locating
 from teaseldock.packets import mesh
 from teaseldock.packets import node
-from teaseldock.packets import overflow
 from teaseldock.packets import placing
 from teaseldock.packets import reporting
 
@@ -154,16 +153,21 @@
     def _place(
         self, item: packet.Packet, hint: hints.Hint, now: float
     ) -> None:
-        chosen = self._choose(item.flow, hint, hint.service, now)
-        if chosen is None and not hint.denied.issuperset(hint.tried):
+        usable = self._targets.for_new_flow(hint, now)
+        if not usable and not hint.denied.issuperset(hint.tried):
             # An earlier copy is still under way to one that has not said no.
             # A refusal now could meet the flow just as it opens there.
             hint.tried.clear()
-            chosen = self._choose(item.flow, hint, hint.service, now)
+            usable = self._targets.for_new_flow(hint, now)
+        chosen = placing.choose(
+            item.flow,
+            usable,
+            data_centre=self._data_centre,
+            bulky=self._targets.near(item.flow) is not None,
+        )
         if chosen is None:
             self._refuse(item, 'no target')
             return
-        chosen = self._relieve(item.flow, hint, chosen, now)
         hint.host = chosen.target.host
         self._targets.note_placed(chosen.target, now)
         self._meters.counters['placed'] += 1
@@ -175,41 +179,11 @@
             host=chosen.target.host,
             load=chosen.reported,
             load_age_ms=round(chosen.age_s * 1000),
-            service=hint.service,
-            service_ms=round(chosen.service_s * 1000),
+            candidates=len(usable),
             **self._flow_inputs,
         )
         self._forward(item, hint)
 
-    def _choose(
-        self, flow: bytes, hint: hints.Hint, service: str, now: float
-    ) -> placing.Candidate | None:
-        return placing.choose(
-            flow,
-            self._targets.for_new_flow(hint, service, now),
-            data_centre=self._data_centre,
-            bulky=self._targets.near(flow) is not None,
-        )
-
-    def _relieve(
-        self,
-        flow: bytes,
-        hint: hints.Hint,
-        chosen: placing.Candidate,
-        now: float,
-    ) -> placing.Candidate:
-        """Return a target of another service, if its own is overloaded."""
-        route = self._knowledge.route(flows.service_of(flow))
-        if route is None or not overflow.overloaded(chosen, route):
-            return chosen
-        for service in overflow.alternatives(route, hint.service):
-            other = self._choose(flow, hint, service, now)
-            if overflow.relieves(other, chosen):
-                self._meters.counters['overflowed'] += 1
-                hint.assign(service)
-                return other
-        return chosen
-
     def _refuse(self, item: packet.Packet, why: str) -> None:
         """Reset a flow that is not open: nothing of it has run."""
         self._meters.counters['refused'] += 1
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -85,12 +85,12 @@
         return self._data_centre
 
     def for_new_flow(
-        self, hint: hints.Hint, service: str, now: float
+        self, hint: hints.Hint, now: float
     ) -> list[placing.Candidate]:
-        """Return the targets of a service that may get a new flow."""
+        """Return the targets that may get a new flow."""
         usable = [
             self._candidate(target, now)
-            for target in self._placeable(service, now)
+            for target in self._placeable(hint.service, now)
             if target.host not in hint.tried and target.host not in hint.denied
         ]
         accepting = [
@@ -139,7 +139,6 @@
             placers * sum(1 for at in placed if at > shown),
             (now - first_seen) * 1000 < target.warmup_ms,
             heartbeat.failing if heartbeat else 0.0,
-            heartbeat.service_s if heartbeat else 0.0,
         )
 
     def holders(self, flow: bytes, hint: hints.Hint, now: float) -> list[str]:
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -68,7 +68,6 @@
         empty in most heartbeats.
     :ivar failing: share of its backend server's requests that failed lately,
         0 for a balancer.
-    :ivar service_s: mean seconds that its backend server takes for a request.
     :ivar holdings: what is to be known of the flows that it holds.
     """
 
@@ -82,7 +81,6 @@
     server_load: load.Load | None
     named: bytes
     failing: float = 0.0
-    service_s: float = 0.0
     holdings: holdings.Holdings = holdings.NOTHING_KNOWN
 
     @property
--- a/packages/teaseldock/teaseldock/packets/hints.py
+++ b/packages/teaseldock/teaseldock/packets/hints.py
@@ -49,18 +49,14 @@
 
     def __init__(self, service: str, place: Place) -> None:
         """Start without an instance."""
-        self.assign(service)
+        self.service = service
+        self.tag = control.service_tag(service)
         self.place = place
         self.host: str | None = None
         self.tried: list[str] = []
         self.denied: set[str] = set()
         self.search: searching.Search | None = None
 
-    def assign(self, service: str) -> None:
-        """Let the flow go to a service."""
-        self.service = service
-        self.tag = control.service_tag(service)
-
 
 class Hints:
     """Hints by flow; the oldest go first."""
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -167,10 +167,6 @@
         """Return the share of requests that its backend server failed."""
         return 0.0
 
-    def _service_s(self) -> float:
-        """Return mean seconds that its backend server takes for a request."""
-        return 0.0
-
     def _holdings(self, now: float) -> holdings.Holdings:
         """Return what is to be told of the flows held here."""
         return holdings.NOTHING_KNOWN
@@ -329,7 +325,6 @@
             self._server_load(now),
             b'',
             self._failing(now),
-            self._service_s(),
             self._holdings(now),
         )
         named = control.pack_hosts(self._mesh.named_balancers(now))
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -70,7 +70,6 @@
         an estimate of those of other balancers.
     :ivar warming: whether it has just started.
     :ivar failing: share of its requests that failed lately.
-    :ivar service_s: seconds that its server takes for a request.
     """
 
     target: records.Target
@@ -79,7 +78,6 @@
     unreported: float
     warming: bool
     failing: float = 0.0
-    service_s: float = 0.0
 
 
 def rank(flow: bytes, target: records.Target) -> bytes:
