Let changes of known instances delay no reset of a lost flow

Cause: a balancer gives no verdict on a flow while any process knows newer changes than it does. A feed whose lost flow is reset late is late, whatever comes after.

Change: processes tell the revision of the newest change of where flows may be: a configuration, or an entry on an instance where none was. Only that delays a verdict.

Tests: test_lost_flows.py; each of the two fails without its part (verdicts that wait for all changes, and verdicts that wait for none).

--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -208,15 +208,14 @@
         return hosts
 
     def lags(self, now: float) -> bool:
-        """Tell whether others know changes that this balancer doesn't.
+        """Tell whether others know of places that this balancer doesn't.
 
         So does a balancer that has just started while entries expire for want
         of the store: it hears of those targets by their agents alone.
         """
         if self._mesh.young(now) and self._mesh.recent_outage(now):
             return True
-        newest = self._mesh.newest_revision(now)
-        return newest > self._knowledge.content_revision
+        return self._mesh.newest_layout(now) > self._knowledge.revision
 
     def relays(self, flow: bytes, now: float) -> list[str]:
         """Return the agents that may ask others about a flow, in order.
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -68,6 +68,8 @@
         empty in most heartbeats.
     :ivar failing: share of its backend server's requests that failed lately,
         0 for a balancer.
+    :ivar layout_revision: of the newest change that it knows of where flows
+        may be, see :attr:`teaseldock.packets.knowledge.Knowledge`.
     :ivar holdings: what is to be known of the flows that it holds.
     """
 
@@ -81,6 +83,7 @@
     server_load: load.Load | None
     named: bytes
     failing: float = 0.0
+    layout_revision: int = 0
     holdings: holdings.Holdings = holdings.NOTHING_KNOWN
 
     @property
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -52,6 +52,7 @@
         self._routes: dict[bytes, records.Route] = {}
         self._revision = 0
         self._content_revision = 0
+        self._layout_revision = 0
         self._hosts: set[str] = set()
         self._removals_since = 0
         self._changed_at = 0.0
@@ -76,6 +77,18 @@
         """
         return min(self._content_revision, self._revision)
 
+    @property
+    def layout_revision(self) -> int:
+        """Return the revision of the newest change of where flows may be.
+
+        That is, of a configuration, or of an entry on an instance where none
+        was. Whoever knows less must not say that nobody holds a flow. Other
+        changes don't matter for that, and are many: 52 servers that start at
+        once write 100 entries a second while they warm up, and balancers that
+        waited for all of them reset lost flows after up to 0.85 s.
+        """
+        return min(self._layout_revision, self._revision)
+
     @property
     def changed_at(self) -> float:
         """Return when the last change was taken over, seconds."""
@@ -190,6 +203,7 @@
             return False
         self._configuration = configuration
         self._note_revision(configuration.revision)
+        self._note_layout(configuration.revision)
         self._routes = {route.address: route for route in configuration.routes}
         return True
 
@@ -207,6 +221,8 @@
         if known is not None and known.place != target.place:
             # The former run may hold flows where it was.
             self._vanished[known.run] = Vanished(known, now, False)
+        if target.host not in self._hosts:
+            self._note_layout(target.revision)
         self._entries[target.identifier] = target
         self._note_revision(target.revision)
         self._vanished.pop(target.run, None)
@@ -227,6 +243,9 @@
     def _note_revision(self, revision: int) -> None:
         self._content_revision = max(self._content_revision, revision)
 
+    def _note_layout(self, revision: int) -> None:
+        self._layout_revision = max(self._layout_revision, revision)
+
     def _drop_unlisted(self, changes: records.Changes, now: float) -> bool:
         listed = {target.identifier for target in changes.targets}
         gone = [name for name in self._entries if name not in listed]
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -278,13 +278,13 @@
             and (peer.sent_upto < revision or now - peer.sent_at > RESEND_S)
         ]
 
-    def newest_revision(self, now: float) -> int:
-        """Return the highest revision that any living process has told."""
+    def newest_layout(self, now: float) -> int:
+        """Return the newest layout revision of all living processes."""
         return max(
             (
-                peer.revision
+                peer.heartbeat.layout_revision
                 for peer in self._peers.values()
-                if not peer.silent(now)
+                if peer.heartbeat is not None and not peer.silent(now)
             ),
             default=0,
         )
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -325,6 +325,7 @@
             self._server_load(now),
             b'',
             self._failing(now),
+            self._knowledge.layout_revision,
             self._holdings(now),
         )
         named = control.pack_hosts(self._mesh.named_balancers(now))
--- /dev/null
+++ b/tests/packets/test_lost_flows.py
@@ -0,0 +1,86 @@
+"""Test how soon callers hear that nobody holds their flow any more."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench import packet_world
+from teaseldock.packets import control
+
+
+def withhold_changes(world: packet_world.World, host: str) -> None:
+    """Lose the changes that are sent to a process, but no heartbeat."""
+    carry = world.carry
+    world.store.refused.add(host)
+
+    def filtered(source: str, to: str, datagram: bytes) -> None:
+        kind = control.unpack(datagram).kind
+        if to != host or kind != control.KIND_CHANGES:
+            carry(source, to, datagram)
+
+    world.carry = filtered
+
+
+def send_all_to(world: packet_world.World, host: str) -> None:
+    """Let the fabric give all packets to one balancer."""
+    for process in world.balancers():
+        world._rotation[process.host] = 0 if process.host == host else 9
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_changes_of_known_servers_delay_no_reset(seed: int) -> None:
+    """Callers wait for up to 0.85 s until a lost flow is reset.
+
+    Symptom: ``flow lost`` with a large ``took_ms``, ``verdicts_delayed``
+    rising, for seconds after a loss of power.
+    Events: servers lose their flows; while they warm up, each writes its entry
+    again and again, and a balancer hears of these changes late.
+    Cause: it gave no verdict while anybody knew any newer change.
+    """
+    world = packet_world.small_world(servers=6, seed=seed)
+    feeds = [world.request(feed=True) for _ in range(20)]
+    world.run(1.0)
+    late = world.balancers()[0].host
+    withhold_changes(world, late)
+    for server in world.servers.values():
+        server.flows.clear()
+        world.store.put(server)
+    world.run(0.4)
+    send_all_to(world, late)
+    for feed in feeds:
+        feed.ask()
+        world.run(0.002)
+    world.run(0.3)
+    took_ms = [line['took_ms'] for line in world.events('flow lost')]
+    assert len(took_ms) == len(feeds)
+    assert max(took_ms) < 60
+    assert all(feed.outcome == 'answered' for feed in feeds)
+
+
+def test_a_new_instance_that_others_know_delays_a_reset() -> None:
+    """A flow is reset whose server a balancer has not heard of.
+
+    Symptom: a reset that the server didn't send, on a flow that it holds.
+    Events: a server joins on a new instance and takes a flow; a balancer that
+    lacks this change gets the flow's packets.
+    Cause: all that it knew had said no.
+    """
+    world = packet_world.small_world(servers=2)
+    late, other = [process.host for process in world.balancers()][:2]
+    withhold_changes(world, late)
+    for server in world.servers.values():
+        server.draining = True
+    world.add_server('10.0.3.1', service='dispatch', slots=8, service_s=0.03)
+    world.cut.add(frozenset((late, '10.0.3.1')))
+    for host in ('10.0.1.1', '10.0.1.2'):
+        world.store.put(world.servers[host])
+    world.run(0.6)
+    send_all_to(world, other)
+    feed = world.request(feed=True)
+    world.run(0.3)
+    assert feed.outcome == 'answered'
+    send_all_to(world, late)
+    feed.ask()
+    world.run(1.0)
+    assert world.processes[late].node.meters.counters['verdicts_delayed']
+    assert not world.broken()
