Reckon a bound for the windows around a loss of power

`python -m bench.packet_bound`: what requests can earn with instant and perfect decisions, given when power goes and comes and when callers repeat.

Also: the process tests take PROCESSES_SEED for the network, servers and callers.

--- a/bench/packet_bound.py
+++ b/bench/packet_bound.py
@@ -1,5 +1,17 @@
 """Reckon what perfect decisions could earn around a loss of all power.
 
+Usage:
+  packet_bound --loss=S --back=S [--reuse=S] [--window=S] KIND...
+
+Each KIND is per_s:worth:late_worth:aim_s:service_s, with ``:guarded`` if its
+callers must not repeat it, or ``:flow-each`` if each opens a flow of its own.
+
+Options:
+  --loss=S    Seconds at which all power is lost.
+  --back=S    Seconds at which the first processes take packets again.
+  --reuse=S   Mean seconds until a caller uses a flow again [default: 2.5].
+  --window=S  Length of the windows, counted from 0 [default: 2].
+
 No decision can serve a request while no process runs, nor answer before its
 caller repeats it. What is left with instant and perfect decisions, servers
 that never queue, and the callers' own repeat times, is the bound that measured
@@ -10,9 +22,14 @@
 
 from __future__ import annotations
 
+import json
+import math
 import random
+import sys
 import typing
 
+import docopt
+
 from bench import packet_caller
 
 #: Round trips of a repeated request before its answer: the reset, the opening,
@@ -20,6 +37,11 @@
 ROUND_TRIP_S = 0.0075
 #: Service times spread by half of their mean.
 SPREAD = 0.5
+#: Requests drawn for each that a window has: a share is then good to 0.01.
+DRAWS = 20
+#: Windows that are told, from the one with the loss.
+WINDOWS = 4
+SEED = 1
 
 
 class Requests(typing.NamedTuple):
@@ -67,7 +89,7 @@
     """Return the share of the worth that a window's requests can earn."""
     earned = owed = 0.0
     for kind in kinds:
-        for _ in range(round(kind.per_s * length_s * 20)):
+        for _ in range(round(kind.per_s * length_s * DRAWS)):
             at = start + randomness.uniform(0.0, length_s)
             owed += kind.worth
             earned += _earned(kind, loss, at, randomness)
@@ -95,7 +117,7 @@
 
 def _unused(loss: Loss, at: float) -> float:
     """Return the share of flows that were not used since the return."""
-    return 2.718 ** (-(at - loss.back_at) / loss.flow_reuse_s)
+    return math.exp(-(at - loss.back_at) / loss.flow_reuse_s)
 
 
 def _until_heard(at: float, loss: Loss) -> float:
@@ -105,3 +127,55 @@
         (wait_s for wait_s in repeats if at + wait_s >= loss.back_at),
         loss.back_at - at,
     )
+
+
+def read_kind(text: str) -> Requests:
+    """Read one kind of request from the command line.
+
+    :raises ValueError: if a figure is missing or none.
+    """
+    figures = text.split(':')
+    words = set(figures[5:])
+    per_s, worth, late_worth, aim_s, service_s = map(float, figures[:5])
+    return Requests(
+        per_s,
+        worth,
+        late_worth,
+        aim_s,
+        service_s,
+        'guarded' in words,
+        'flow-each' in words,
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Print the bound of each window as JSON."""
+    options = docopt.docopt(__doc__, arguments)
+    kinds = [read_kind(text) for text in options['KIND']]
+    loss = Loss(
+        float(options['--loss']),
+        float(options['--back']),
+        float(options['--reuse']),
+    )
+    length_s = float(options['--window'])
+    first = math.floor(loss.at / length_s) * length_s
+    randomness = random.Random(SEED)
+    bounds = {
+        start: round(
+            window_worth(
+                kinds,
+                loss,
+                start=start,
+                length_s=length_s,
+                randomness=randomness,
+            ),
+            3,
+        )
+        for start in (first + n * length_s for n in range(WINDOWS))
+    }
+    print(json.dumps(bounds))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import pathlib
 import random
 import signal
@@ -20,6 +21,9 @@
 from teaseldock import flow
 from teaseldock import proxy_header
 
+#: Seed of the network's faults, the servers' times and the callers' pauses.
+#: What the machine's scheduler adds is not seeded.
+SEED = int(os.environ.get('PROCESSES_SEED', '1'))
 NETWORK = 41
 PORTS = deployment.Ports(5520, 5521, 5522)
 COMMAND = [sys.executable, '-m', 'teaseldock_agent.command']
@@ -70,6 +74,7 @@
         folder=tmp_path,
         ports=PORTS,
         network=NETWORK,
+        seed=SEED,
         service_s=0.05,
     )
     try:
@@ -99,7 +104,7 @@
             'pause_s': pause_s,
             'seconds': seconds,
             'address': address,
-            'seed': 1,
+            'seed': SEED,
             'record': str(dep.folder / f'{service}-{kind}.record'),
         }
         name = f'callers-{service}-{kind}'
