--- a/bench/packet_costs.py
+++ b/bench/packet_costs.py
@@ -10,9 +10,12 @@
 from bench import packet_codec
 from bench import packet_world
 from teaseldock import load
+from teaseldock.packets import candidates
 from teaseldock.packets import control
 from teaseldock.packets import hints
 from teaseldock.packets import holdings
+from teaseldock.packets import knowledge
+from teaseldock.packets import mesh
 from teaseldock.packets import placing
 from teaseldock.packets import records
 from teaseldock.packets import tracking
@@ -100,6 +103,43 @@
     )
 
 
+def flow(number: int) -> bytes:
+    """Return the key of a flow of one service address."""
+    return number.to_bytes(4, 'big') + bytes(8)
+
+
+def asked_whom_us(targets: int) -> float:
+    """Return microseconds of finding out who may hold a lost flow.
+
+    :param targets: in all; one in fifty is of the flow's service.
+    """
+    known = knowledge.Knowledge()
+    processes = mesh.Mesh('10.9.0.1', is_balancer=True, seeds=[], now=0.0)
+    entries = [
+        target(n)._replace(service=f'service-{n % 50}') for n in range(targets)
+    ]
+    services = sorted({item.service for item in entries})
+    configuration = records.Configuration(1, 1, 15_000, [], services)
+    known.apply(
+        records.Changes(0, targets, entries, [], configuration), now=0.0
+    )
+    for item in entries:
+        held = holdings.make_holdings(
+            control.service_tag(item.service), [], knows_all=True
+        )
+        heartbeat = control.Heartbeat(
+            False, 1, False, targets, 10, False, None, b'', holdings=held
+        )
+        processes.hear(item.host, heartbeat, 0.0)
+    usable = candidates.Candidates(known, processes, data_centre='dc-0')
+    hint = hints.Hint('service-0', hints.Place.SEARCHED)
+    hosts = usable.holders(flow(1), hint, 0.1)
+    assert len(hosts) == -(-targets // 50)
+    return 1e6 * seconds_each(
+        lambda number: usable.holders(flow(number), hint, 0.1), 200
+    )
+
+
 def main() -> None:
     """Print all figures as one JSON object."""
     remembered = hints.Hints()
@@ -130,10 +170,11 @@
         ),
         'bytes_a_tracked_flow': round(
             bytes_each(
-                lambda n: tracker._learn(n.to_bytes(12, 'big'), 0.0, 0.0),
+                lambda n: tracker._learn(flow(n), 0.0, 0.0),
                 tracking.FLOWS_TRACKED,
             )
         ),
+        'asked_whom_us': {n: round(asked_whom_us(n)) for n in (50, 200, 1000)},
         'heartbeat_bytes': len(control.pack_heartbeat(heartbeat)),
         'changes_bytes': {
             f'{targets} targets, {routes} routes': changes_bytes(
