--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -7,25 +7,8 @@
 from bench import packet_server
 from bench import packet_world
 from teaseldock.packets import records
-
-
-def serve_feeds(world: packet_world.World, count: int) -> list:
-    """Open feeds and let them have their first answer."""
-    feeds = []
-    for _ in range(count):
-        feeds.append(world.request(feed=True))
-        world.run(0.02)
-    world.run(0.5)
-    assert all(feed.outcome == 'answered' for feed in feeds)
-    return feeds
-
-
-def ask_all(world: packet_world.World, feeds: list, seconds: float) -> None:
-    """Let each feed ask once more."""
-    for feed in feeds:
-        feed.ask()
-        world.run(0.01)
-    world.run(seconds)
+from tests.packets.feeds import ask_all
+from tests.packets.feeds import serve_feeds
 
 
 def test_feeds_outlive_their_balancer() -> None:
--- a/tests/packets/test_lost_flows.py
+++ b/tests/packets/test_lost_flows.py
@@ -6,6 +6,8 @@
 
 from bench import packet_world
 from teaseldock.packets import control
+from tests.packets.feeds import ask_all
+from tests.packets.feeds import restart_balancers
 
 
 def withhold_changes(world: packet_world.World, host: str) -> None:
@@ -102,11 +104,7 @@
     world.run(46.0)
     feeds = [world.request(feed=True) for _ in range(8)]
     world.run(30.0)
-    for process in world.balancers():
-        world.start(process.host)
-    world.run(1.0)
-    for feed in feeds:
-        feed.ask()
-    world.run(1.0)
+    restart_balancers(world)
+    ask_all(world, feeds, 1.0)
     assert not world.broken()
     assert all(feed.outcome == 'answered' for feed in feeds)
--- a/tests/packets/test_moved_routes.py
+++ b/tests/packets/test_moved_routes.py
@@ -6,6 +6,9 @@
 
 from bench import packet_world
 from teaseldock.packets import records
+from tests.packets.feeds import ask_all
+from tests.packets.feeds import restart_balancers
+from tests.packets.feeds import serve_feeds
 
 SERVICES = ('board', 'printer')
 
@@ -47,33 +50,6 @@
     ]
 
 
-def open_feeds(world: packet_world.World, count: int) -> list:
-    """Open feeds and let them have their first answer."""
-    feeds = []
-    for _ in range(count):
-        feeds.append(world.request(feed=True))
-        world.run(0.02)
-    world.run(0.5)
-    assert all(feed.outcome == 'answered' for feed in feeds)
-    return feeds
-
-
-def replace_balancers(world: packet_world.World) -> None:
-    """Start all balancers anew, one after the other."""
-    for process in world.balancers():
-        world.start(process.host)
-        world.run(0.3)
-    world.run(1.0)
-
-
-def ask_all(world: packet_world.World, feeds: list) -> None:
-    """Let each feed ask once more."""
-    for feed in feeds:
-        feed.ask()
-        world.run(0.01)
-    world.run(1.5)
-
-
 @pytest.mark.parametrize(
     'after',
     [
@@ -94,15 +70,15 @@
     Cause: only servers of the service that the route names now were asked.
     """
     world = two_services(('board', 90), ('printer', 10))
-    feeds = open_feeds(world, 40)
+    feeds = serve_feeds(world, 40)
     world.store.configure(2, routes(*after))
     world.run(1.0)
     if agents_restart:
         for host in list(world.servers):
             world.start(host)
             world.run(0.1)
-    replace_balancers(world)
-    ask_all(world, feeds)
+    restart_balancers(world, pause_s=0.3)
+    ask_all(world, feeds, 1.5)
     assert not world.broken()
     assert not any(feed.resets for feed in feeds)
     assert all(feed.outcome == 'answered' for feed in feeds)
@@ -152,15 +128,15 @@
     of the address, were asked all the same.
     """
     world = two_services(('board', 1), others=40)
-    feeds = open_feeds(world, 20)
+    feeds = serve_feeds(world, 20)
     for server in world.servers.values():
         server.flows.clear()
-    replace_balancers(world)
+    restart_balancers(world, pause_s=0.3)
     before = [
         process.node.meters.counters['asked']
         for process in world.processes.values()
     ]
-    ask_all(world, feeds)
+    ask_all(world, feeds, 1.5)
     asked = [
         process.node.meters.counters['asked']
         for process in world.processes.values()
--- a/tests/packets/test_same_identifier.py
+++ b/tests/packets/test_same_identifier.py
@@ -5,6 +5,8 @@
 from bench import packet_world
 from teaseldock.packets import knowledge
 from teaseldock.packets import records
+from tests.packets.feeds import ask_all
+from tests.packets.feeds import restart_balancers
 
 
 def entry(**fields: object) -> records.Target:
@@ -65,12 +67,8 @@
     world.store.put(world.servers[host])
     world.run(0.5)
     assert world.events('server restarted')[0]['seen']
-    for process in world.balancers():
-        world.start(process.host)
-    world.run(1.0)
-    for feed in feeds:
-        feed.ask()
-    world.run(1.0)
+    restart_balancers(world)
+    ask_all(world, feeds, 1.0)
     assert all(feed.outcome == 'answered' for feed in feeds)
     assert not world.broken()
 
@@ -97,11 +95,8 @@
     world.store.put(server)
     world.run(0.5)
     assert not world.events('server restarted')[0]['seen']
-    for process in world.balancers():
-        world.start(process.host)
-    world.run(1.0)
-    feed.ask()
-    world.run(1.0)
+    restart_balancers(world)
+    ask_all(world, [feed], 1.0)
     assert feed.outcome == 'answered'
     assert not world.broken()
 
