Soak servers born again under their key, and entries of other writers

Servers of the soak wrote no version; the decoder now asks for it, so that none of them named a target. Half of the crashes keep the key, with another time of birth; a new fault leaves odd entries beside a server's or over it.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,27 @@
 
 #: Seconds between two faults.
 _GAP_S = (0.2, 1.5)
+_GOOD_ENTRY = {
+    'service': 'dispatch',
+    'address': '127.0.0.1:9',
+    'zone': 'dc-0',
+    'version': 'v1',
+    'capacity': 2,
+    'state': 'ready',
+    'warmupLeftMs': 0,
+    'sequence': 1,
+}
+#: What other writers leave: no address there ever answers.
+_ODD_ENTRIES: tuple[typing.Any, ...] = (
+    None,
+    'text',
+    {},
+    {**_GOOD_ENTRY, 'state': 'elsewhere'},
+    {**_GOOD_ENTRY, 'service': 'elsewhere'},
+    {**_GOOD_ENTRY, 'capacity': '2'},
+    {**_GOOD_ENTRY, 'born': 1.5},
+    {name: _GOOD_ENTRY[name] for name in ('service', 'address')},
+)
 
 
 class Faults:
@@ -37,6 +58,7 @@
             self._crash_server,
             self._silence_server,
             self._replace_server,
+            self._foreign_entry,
             self._store,
             self._compact,
             self._configure,
@@ -84,10 +106,10 @@
         server = self._random.choice(self._world.servers)
         if not server.up:
             return
-        server.crash(forget=self._random.random() < 0.5)
-        self._world.store.remove(server.key)
+        keeps_name = self._random.random() < 0.5
+        server.crash(forget=not keeps_name)
         await asyncio.sleep(self._random.uniform(0.3, 2.0))
-        await server.start()
+        await server.start(keeps_name=keeps_name)
 
     async def _silence_server(self) -> None:
         server = self._random.choice(self._world.servers)
@@ -106,6 +128,18 @@
             server.crash(forget=True)
             await server.start()
 
+    async def _foreign_entry(self) -> None:
+        """Leave what names no target, beside a server's entry or over it."""
+        server = self._random.choice(self._world.servers)
+        odd = self._random.choice(_ODD_ENTRIES)
+        if self._random.random() < 0.5 or not server.up:
+            self._world.store.put(f'servers/odd-{len(self.done)}', odd)
+            return
+        self._world.store.put(server.key, odd)
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        if server.up and server.draining_since is None:
+            server.register()
+
     async def _store(self) -> None:
         proxy = self._random.choice(self._world.proxies)
         proxy.mode = self._random.choice(('slow', 'refuse', 'silent', 'deaf'))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -19,6 +19,8 @@
 ID_BYTES = 8
 #: Seconds until a closed port can be had again.
 _CLOSE_S = 0.05
+#: Unix milliseconds; the runs of a server are born one after the other.
+_FIRST_BORN = 1_700_000_000_000
 
 
 class Opening(typing.NamedTuple):
@@ -64,6 +66,7 @@
         self.draining_since: float | None = None
         self.disturbed_at = 0.0
         self._run = 0
+        self._name = 0
         self._starting = False
         self._journal = journal
         self._registry = registry
@@ -75,25 +78,33 @@
     @property
     def key(self) -> str:
         """Return the key of its entry."""
-        return f'servers/i-{self.number}-{self._run}'
+        return f'servers/i-{self.number}-{self._name}'
 
     @property
     def up(self) -> bool:
         """Tell whether it runs."""
         return self._port is not None
 
-    async def start(self) -> None:
-        """Begin a run; nothing happens while it is up."""
+    async def start(self, *, keeps_name: bool = False) -> None:
+        """Begin a run; nothing happens while it is up.
+
+        :param keeps_name: whether it starts again under the key that it had.
+        """
         if self._starting or self.up:
             return
         self._starting = True
         await asyncio.sleep(_CLOSE_S)
         self._run += 1
+        self._name += not keeps_name
         self.draining_since = None
         self._port = await network.open_port(
             (self.host, network.SERVER_PORT), self._take
         )
         self._starting = False
+        self.register()
+
+    def register(self) -> None:
+        """Write the entry of a server that serves."""
         self._register('ready')
 
     def _register(self, state: str) -> float:
@@ -103,10 +114,12 @@
                 'service': self.service,
                 'address': f'{self.host}:{network.SERVER_PORT}',
                 'zone': f'dc-{self.number % 2}',
+                'version': 'v1',
                 'capacity': 2,
                 'state': state,
                 'warmupLeftMs': 0,
                 'sequence': 1,
+                'born': _FIRST_BORN + self._run,
             },
         )
 
