--- a/tests/packets/test_flows.py
+++ b/tests/packets/test_flows.py
@@ -132,31 +132,6 @@
     assert all(feed.outcome == 'answered' for feed in feeds)
 
 
-def test_lost_flows_are_reset_at_once() -> None:
-    """Callers wait for their timeout though their flow can't be saved.
-
-    Symptom: requests on flows of a crashed server end only at the deadline.
-    Events: a server crashes and starts again; callers ask on old flows.
-    Cause: nobody told them that the flow is gone.
-    """
-    world = packet_world.small_world()
-    feeds = serve_feeds(world, 30)
-    server = world.servers['10.0.1.1']
-    old = server.identifier
-    lost = [feed for feed in feeds if feed.flow in server.flows]
-    server.crash()
-    server.up = True
-    world.store.remove(old)
-    world.store.put(server)
-    world.run(0.5)
-    ask_all(world, feeds, 1.0)
-    assert lost
-    assert all(feed.resets for feed in lost)
-    assert all(feed.outcome == 'answered' for feed in feeds)
-    assert max(feed.latency_s for feed in lost) < 0.2
-    assert not world.broken()
-
-
 @pytest.mark.parametrize('word', ['draining', 'gone'])
 def test_a_leaving_target_gets_no_new_flow(word: str) -> None:
     """New flows stop well within three seconds; those that are open stay."""
--- a/tests/packets/test_lost_flows.py
+++ b/tests/packets/test_lost_flows.py
@@ -8,6 +8,7 @@
 from teaseldock.packets import control
 from tests.packets.feeds import ask_all
 from tests.packets.feeds import restart_balancers
+from tests.packets.feeds import serve_feeds
 
 
 def withhold_changes(world: packet_world.World, host: str) -> None:
@@ -29,6 +30,31 @@
         world._rotation[process.host] = 0 if process.host == host else 9
 
 
+def test_lost_flows_are_reset_at_once() -> None:
+    """Callers wait for their timeout though their flow can't be saved.
+
+    Symptom: requests on flows of a crashed server end only at the deadline.
+    Events: a server crashes and starts again; callers ask on old flows.
+    Cause: nobody told them that the flow is gone.
+    """
+    world = packet_world.small_world()
+    feeds = serve_feeds(world, 30)
+    server = world.servers['10.0.1.1']
+    old = server.identifier
+    lost = [feed for feed in feeds if feed.flow in server.flows]
+    server.crash()
+    server.up = True
+    world.store.remove(old)
+    world.store.put(server)
+    world.run(0.5)
+    ask_all(world, feeds, 1.0)
+    assert lost
+    assert all(feed.resets for feed in lost)
+    assert all(feed.outcome == 'answered' for feed in feeds)
+    assert max(feed.latency_s for feed in lost) < 0.2
+    assert not world.broken()
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_changes_of_known_servers_delay_no_reset(seed: int) -> None:
     """Callers wait for up to 0.85 s until a lost flow is reset.
