Challenge a challenged message again, and run no late copy of it

A flow's first message is challenged; a copy that the network held back came after the proof, was no repeat of any exchange that is kept, and began the first scan again in the middle of the third.

Ruled out: kills and pauses (no agent or server of tickets was touched), two holders (one server has all the lines).

--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from teaseldock import challenged
 from teaseldock.codecs import base
 from teaseldock import coordinator
 from teaseldock import exceptions
@@ -55,6 +56,7 @@
         self._flows = flow_store.FlowStore(now)
         self._feeds = feeds.FeedTable()
         self._uploads: dict[bytes, float] = {}
+        self._challenged = challenged.ChallengedMessages()
         self._executor = executor.Executor(
             service=service.name,
             slots=slots,
@@ -192,7 +194,10 @@
             return []
         if isinstance(request, base.Control):
             return self._on_control(packet.flow, request)
-        if not self._has_proved(packet.flow, request):
+        key = packet.flow + request.exchange
+        proved = self._has_proved(packet.flow, request)
+        if not proved or key in self._challenged:
+            self._challenged.add(key)
             return self._coordinator.guard.challenge(
                 packet.flow, request, now
             ).actions
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -137,3 +137,55 @@
             assert call in coordinator._pending
             checked += 1
     assert checked
+
+
+def test_a_late_copy_of_a_challenged_message_runs_nothing(
+    small: world.World,
+) -> None:
+    """A scan's first part is taken for the beginning of a later scan.
+
+    Symptom: a caller is answered for an earlier scan, and the server runs
+    that scan once more, with the later one's parts.
+    Events: the first message of a flow is challenged, and a copy of it stays
+    in the network for a second; the caller proves its address, its scan is
+    done and the next one begins; then the copy arrives.
+    Cause: the flow had proved its address by then, and the copy's exchange was
+    not known, for a challenge is no answer that is kept.
+    """
+    caller = small.add_caller('tickets')
+    received: list[fake_codec.Answer] = []
+    caller.receive = lambda payload: received.append(
+        fake_codec.Answer(*fake_codec.msgspec.msgpack.decode(payload))
+    )
+
+    def send(message_id: int, echo: bytes | None, identity: str) -> None:
+        fields = [
+            fake_codec.REQUEST,
+            message_id,
+            b'%d' % message_id,
+            'PUT',
+            fake_codec.PARTS,
+            echo,
+            None,
+            None,
+            identity,
+        ]
+        body = fake_codec.msgspec.msgpack.encode(fields)
+        small.from_caller(caller.flow, body)
+
+    send(1, None, 'tickets-first')
+    small.run_until(small.now + 0.5)
+    assert [item.kind for item in received] == ['challenge']
+    send(2, received[0].value, 'tickets-first')
+    small.run_until(small.now + 0.5)
+    send(3, None, 'tickets-second')
+    small.run_until(small.now + 0.1)
+    send(1, None, 'tickets-first')
+    small.run_until(small.now + 1.0)
+    assert [item.kind for item in received[1:]] == [
+        'answer',
+        'answer',
+        'challenge',
+    ]
+    names = [item.identity for item in small.ran]
+    assert names == ['tickets-first', 'tickets-second']
