--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import itertools
 import random
@@ -20,6 +21,7 @@
 from bench import packet_store
 from teaseldock.packets import agent
 from teaseldock.packets import balancer
+from teaseldock.packets import control
 from teaseldock.packets import node
 from teaseldock.packets import packet
 from teaseldock.packets import records
@@ -31,6 +33,13 @@
 #: Seconds between two ticks of a process, and two looks of the fabric.
 TICK_S = 0.05
 FABRIC_S = 0.5
+#: Seconds that a datagram waits at a link at the most; others are lost.
+LINK_QUEUE_S = 1.0
+#: Bytes of headers of each datagram, and bits of a byte.
+HEADER_BYTES = 28
+BITS = 8
+#: Kinds of datagrams that carry packets of callers.
+CALLERS_KINDS = (control.KIND_PACKET, control.KIND_RETURNED)
 SERVICE_HOST = bytes((198, 18, 0, 1))
 
 
@@ -70,6 +79,8 @@
             'now': world.now,
         }
         if server is None:
+            if world.link_mbps is not None:
+                options['link_mbps'] = world.link_mbps
             self.node: node.Node = balancer.Balancer(**options)
         else:
             self.node = agent.Agent(
@@ -143,10 +154,27 @@
     """Everything at one moment of virtual time."""
 
     def __init__(
-        self, *, balancers: int = 3, seed: int = 1, seeds: int = 2
+        self,
+        *,
+        balancers: int = 3,
+        seed: int = 1,
+        seeds: int = 2,
+        link_mbps: float | None = None,
     ) -> None:
-        """Start a store and balancers; servers come by :meth:`add_server`."""
+        """Start a store and balancers; servers come by :meth:`add_server`.
+
+        :param link_mbps: speed of the balancers' links; any if not given.
+        """
         self.now = 100.0
+        self.link_mbps = link_mbps
+        self._link_free_at: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
+        #: Bytes of control by sender and second, headers included.
+        self.control_bytes: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self.link_losses = 0
         self.random = random.Random(seed)
         self.lines: list[tuple[float, str, str, dict]] = []
         self.seeds = [f'10.0.0.{i + 1}' for i in range(seeds)]
@@ -221,15 +249,33 @@
 
     def carry(self, source: str, host: str, datagram: bytes) -> None:
         """Carry a datagram between processes."""
+        size = len(datagram) + HEADER_BYTES
+        if datagram[1] not in CALLERS_KINDS:
+            self.control_bytes[source, int(self.now)] += size
+        waits_s = self._at_link(source, size)
+        if waits_s is None:
+            return
         if frozenset((source, host)) in self.cut:
             return
         if self.loss and self.random.random() < self.loss:
             return
         self.after(
-            HOP_S * self.random.uniform(0.8, 1.2),
+            waits_s + HOP_S * self.random.uniform(0.8, 1.2),
             lambda: self._arrive(source, host, datagram),
         )
 
+    def _at_link(self, source: str, size: int) -> float | None:
+        """Return how long a datagram takes at its link, None if it is lost."""
+        if self.link_mbps is None or source in self.servers:
+            return 0.0
+        free_at = max(self.now, self._link_free_at[source])
+        if free_at - self.now > LINK_QUEUE_S:
+            self.link_losses += 1
+            return None
+        free_at += BITS * size / (self.link_mbps * 1e6)
+        self._link_free_at[source] = free_at
+        return free_at - self.now
+
     def _arrive(self, source: str, host: str, datagram: bytes) -> None:
         process = self.processes.get(host)
         if process is not None:
--- a/packages/teaseldock-edge/teaseldock_edge/meters_page.py
+++ b/packages/teaseldock-edge/teaseldock_edge/meters_page.py
@@ -35,6 +35,14 @@
             events.add_metric([kind], count)
         events.add_metric(['log_lines_dropped'], self._dropped_lines)
         yield events
+        control_bytes = core.CounterMetricFamily(
+            f'{_PREFIX}control_bytes',
+            'Bytes sent to other processes, headers included, by purpose.',
+            labels=['purpose'],
+        )
+        for purpose, size in sorted(self._node.budget.spent.items()):
+            control_bytes.add_metric([purpose], size)
+        yield control_bytes
         for name, value in (
             ('revision', self._node.knowledge.content_revision),
             ('version', self._node.knowledge.version),
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -9,8 +9,8 @@
 from teaseldock.packets import admission
 from teaseldock.packets import answering
 from teaseldock.packets import control
+from teaseldock.packets import control_budget
 from teaseldock.packets import holdings
-from teaseldock.packets import mesh
 from teaseldock.packets import node
 from teaseldock.packets import relaying
 from teaseldock.packets import reporting
@@ -73,11 +73,14 @@
         self._server_seen_start = False
         self._began = now
         self._answers = answering.Answers(
-            self._tracker, self._tag, self._outlet
+            self._tracker,
+            self._tag,
+            layout_revision=lambda: self._knowledge.layout_revision,
+            send=self._send_search,
         )
-        self._relay = relaying.Relay(self._outlet, self._meters)
+        self._relay = relaying.Relay(self._send_search, self._meters)
         self._sweep_at = now
-        self._reported: load.Load | None = None
+        self._own_target: records.Target | None = None
         self._accepting = True
 
     @property
@@ -92,7 +95,11 @@
 
     @property
     def own_target(self) -> records.Target | None:
-        """Return the entry of the backend server on this instance.
+        """Return the entry of the backend server on this instance."""
+        return self._own_target
+
+    def _find_own_target(self) -> records.Target | None:
+        """Return the newest entry for the server beside this process.
 
         A server that has restarted stands there twice until its former entry
         expires; the newer one counts.
@@ -104,12 +111,19 @@
         ]
         return max(entries, key=lambda item: item.revision, default=None)
 
-    def _heartbeat_interval(self) -> float:
-        current = self._server_load(self._last_tick)
-        if current == self._reported:
-            return mesh.IDLE_INTERVAL_S
-        agents = max(1, len(self._knowledge.targets))
-        return self._mesh.hearing_interval(agents)
+    def _send_search(self, host: str, datagram: bytes) -> None:
+        self._send(host, datagram, control_budget.Purpose.SEARCH)
+
+    def _concerns_everybody(self, now: float) -> bool:
+        """Tell whether all balancers must know of the flows held here.
+
+        They ask the servers that have an entry, and those that a route names.
+        A server whose entry has expired for want of the store, or that holds
+        flows of a route that now goes elsewhere, is known by its agent alone.
+        """
+        if self._served_run is not None and self._own_target is None:
+            return True
+        return bool(self._holdings(now).moved)
 
     def _server_load(self, now: float) -> load.Load:
         target = self.own_target
@@ -140,9 +154,12 @@
         return self._admission.queue
 
     def _on_knowledge(self, now: float) -> None:
-        target = self.own_target
+        before = self._own_target
+        target = self._own_target = self._find_own_target()
         if target is None:
             # Its entry expired; the slots stay what they were.
+            if before is not None:
+                self._tell(self._mesh.balancers(), now)
             return
         self._admission.set_slots(target.slots)
         if target.run == self._served_run:
@@ -205,19 +222,17 @@
             self._sweep_at = now + SWEEP_S
             self._tracker.sweep(now, idle_s=self._idle_s())
 
-    def _tell(self, peers: list[mesh.Peer], now: float) -> None:
-        if not peers:
-            return
-        self._reported = self._server_load(now)
-        if self._reported.accepting != self._accepting:
-            self._accepting = self._reported.accepting
+    def _heartbeat(self, now: float) -> control.Heartbeat:
+        heartbeat = super()._heartbeat(now)
+        if heartbeat.server_load.accepting != self._accepting:
+            self._accepting = heartbeat.server_load.accepting
             self._reporter.note(
                 'takes new flows' if self._accepting else 'takes no new flows',
                 leaving=self._leaving,
                 responsive=self._tracker.responsive(now),
                 **self._flow_inputs,
             )
-        super()._tell(peers, now)
+        return heartbeat
 
     def _on_envelope(
         self, envelope: control.Envelope, host: str, now: float
@@ -230,6 +245,8 @@
             )
         elif envelope.kind == control.KIND_PROBE:
             self._on_probe(envelope, host, now)
+        elif envelope.kind == control.KIND_ASK:
+            self._on_ask(host, now)
         elif envelope.kind == control.KIND_LOCATED:
             self._relay.on_located(envelope, host)
         elif envelope.kind == control.KIND_RELAY:
@@ -239,6 +256,15 @@
         else:
             self._meters.counters['dropped_not_for_agent'] += 1
 
+    def _on_ask(self, host: str, now: float) -> None:
+        """Tell a balancer that is about to place a flow how busy it is."""
+        self._mesh.learn_balancer(host, now)
+        self._send(
+            host,
+            control.pack_heartbeat(self._heartbeat(now), asked=True),
+            control_budget.Purpose.QUESTION,
+        )
+
     def _on_caller_packet(
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
--- a/packages/teaseldock/teaseldock/packets/answering.py
+++ b/packages/teaseldock/teaseldock/packets/answering.py
@@ -9,10 +9,10 @@
 from teaseldock.packets import searching
 
 if typing.TYPE_CHECKING:
-    from teaseldock.packets import node
     from teaseldock.packets import packet
     from teaseldock.packets import tracking
 
+Send = typing.Callable[[str, bytes], None]
 #: Questions kept until the server has shown whether it holds their flows.
 PROBES_KEPT = 1000
 
@@ -21,15 +21,23 @@
     """Questions about flows of one backend server."""
 
     def __init__(
-        self, tracker: tracking.Tracker, tag: int, outlet: node.Outlet
+        self,
+        tracker: tracking.Tracker,
+        tag: int,
+        *,
+        layout_revision: typing.Callable[[], int],
+        send: Send,
     ) -> None:
         """Start without a question.
 
         :param tag: of the service whose flows the server holds.
+        :param layout_revision: returns the newest that the agent knows.
+        :param send: sends a datagram of a search to a process.
         """
         self._tracker = tracker
         self._tag = tag
-        self._outlet = outlet
+        self._layout_revision = layout_revision
+        self._send = send
         self._probes: collections.OrderedDict[bytes, str] = (
             collections.OrderedDict()
         )
@@ -83,7 +91,5 @@
         self, flow: bytes, host: str, holding: searching.Holding
     ) -> None:
         """Send an answer."""
-        self._outlet.to_process(
-            host,
-            control.pack(control.KIND_LOCATED, holding, self._tag, flow),
-        )
+        located = control.Located(flow, self._layout_revision())
+        self._send(host, control.pack_located(holding, self._tag, located))
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -8,7 +8,9 @@
 from teaseldock import flow as flows
 from teaseldock.packets import candidates
 from teaseldock.packets import control
+from teaseldock.packets import control_budget
 from teaseldock.packets import hints
+from teaseldock.packets import inquiry
 from teaseldock.packets import locating
 from teaseldock.packets import mesh
 from teaseldock.packets import node
@@ -25,6 +27,10 @@
 #: 40 did so within the 0.1 s that it takes to hear from the store.
 EARLY_KEPT = 512
 EARLY_S = 0.2
+#: Seconds without a word of any agent after which some are asked, and how
+#: many: a balancer that no agent reports to must know whether it is cut off.
+QUIET_S = 0.5
+ASKED_WHEN_QUIET = 3
 _SHARE_KEY = b'teaseldock-share'
 
 
@@ -46,10 +52,16 @@
             self._targets,
             forward=self._forward,
             inputs=lambda: self._flow_inputs,
+            control_bytes=self._budget,
+            catch_up=self._pull,
             outlet=self._outlet,
             reporter=self._reporter,
             meters=self._meters,
         )
+        self._inquiries = inquiry.Inquiries()
+        self._vanished: set[tuple[str, int]] = set()
+        self._agent_heard_at = 0.0
+        self._asked_quiet_at = 0.0
         self._early: collections.deque[tuple[packet.Packet, float]] = (
             collections.deque(maxlen=EARLY_KEPT)
         )
@@ -68,21 +80,72 @@
         """
         if not self._knowledge.usable or self._leaving:
             return False
-        agents = self._mesh.agents()
-        return not agents or any(not agent.silent(now) for agent in agents)
+        if not self._knowledge.targets:
+            return True
+        return now - self._agent_heard_at <= mesh.SILENT_S
 
-    def _heartbeat_interval(self) -> float:
-        return mesh.BALANCER_INTERVAL_S
+    def _on_heartbeat(self, peer: mesh.Peer, now: float) -> None:
+        if peer.is_balancer:
+            return
+        self._agent_heard_at = now
+        for waiting in self._inquiries.answered(peer.host):
+            self._place_asked(waiting, now)
 
     def _on_knowledge(self, now: float) -> None:
         self._targets.refresh(now)
+        self._ask_vanished(now)
         self._serve_early(now)
 
+    def _ask_vanished(self, now: float) -> None:
+        """Ask agents whose entries have gone whether they are still there.
+
+        Entries may expire for want of the store; the flows of such a server
+        live, and would be reset if its agent counted as gone.
+        """
+        vanished = {
+            item.target.run: item.target.host
+            for item in self._knowledge.vanished(now)
+        }
+        for run in vanished.keys() - self._vanished:
+            self._ask(vanished[run], now)
+        self._vanished = set(vanished)
+
+    def _ask(self, host: str, now: float) -> None:
+        """Ask an agent how busy its server is."""
+        self._meters.counters['loads_asked'] += 1
+        peer = self._mesh.peers.get(host)
+        if peer is not None:
+            peer.asked(now)
+        self._send(
+            host,
+            control.pack(control.KIND_ASK, 0, 0, b''),
+            control_budget.Purpose.QUESTION,
+        )
+
     def tick(self, now: float) -> None:
         """Do what is due."""
         super().tick(now)
         self._serve_early(now)
+        for waiting in self._inquiries.overdue(now):
+            self._meters.counters['placed_without_answers'] += 1
+            self._place_asked(waiting, now)
         self._locator.tick(now)
+        self._keep_in_touch(now)
+
+    def _keep_in_touch(self, now: float) -> None:
+        """Ask some agents if none has been heard for a while.
+
+        Without it a balancer that no agent reports to looks cut off.
+        """
+        if now - max(self._agent_heard_at, self._asked_quiet_at) < QUIET_S:
+            return
+        self._asked_quiet_at = now
+        hosts = sorted(
+            {item.host for item in self._knowledge.targets.values()}
+        )
+        count = min(ASKED_WHEN_QUIET, len(hosts))
+        for host in self._random.sample(hosts, count):
+            self._ask(host, now)
 
     def _serve_early(self, now: float) -> None:
         if not self._early or self.distrusts(now):
@@ -151,23 +214,94 @@
         self._place(item, hint, now)
 
     def _place(
-        self, item: packet.Packet, hint: hints.Hint, now: float
+        self,
+        item: packet.Packet,
+        hint: hints.Hint,
+        now: float,
+        *,
+        group: int = 1,
     ) -> None:
-        usable = self._targets.for_new_flow(hint, now)
+        """Choose the target of a new flow, or ask candidates first.
+
+        :param group: number of the group of candidates to look at.
+        """
+        usable = self._targets.for_new_flow(item.flow, hint, now)
         if not usable and not hint.denied.issuperset(hint.tried):
             # An earlier copy is still under way to one that has not said no.
             # A refusal now could meet the flow just as it opens there.
             hint.tried.clear()
-            usable = self._targets.for_new_flow(hint, now)
-        chosen = placing.choose(
-            item.flow,
-            usable,
-            data_centre=self._data_centre,
-            bulky=self._targets.near(item.flow) is not None,
-        )
-        if chosen is None:
+            usable = self._targets.for_new_flow(item.flow, hint, now)
+        if not usable:
             self._refuse(item, 'no target')
             return
+        end = group * placing.CANDIDATES
+        members = usable[end - placing.CANDIDATES : end]
+        asked = inquiry.whom_to_ask(members)
+        if asked and self._may_ask(now):
+            self._inquire(item, hint, members, asked, group, now)
+            return
+        self._settle(item, hint, usable, group, now)
+
+    def _may_ask(self, now: float) -> bool:
+        question = control_budget.Purpose.QUESTION
+        return not self._inquiries.full and self._budget.allows(question, now)
+
+    def _inquire(
+        self,
+        item: packet.Packet,
+        hint: hints.Hint,
+        members: list[placing.Candidate],
+        asked: list[placing.Candidate],
+        group: int,
+        now: float,
+    ) -> None:
+        enough = min(inquiry.ENOUGH, len(members))
+        hosts = [member.target.host for member in asked]
+        self._inquiries.add(
+            inquiry.Inquiry(
+                item,
+                hint,
+                hosts=hosts,
+                group=group,
+                lacking=enough - (len(members) - len(asked)),
+                now=now,
+            )
+        )
+        for host in hosts:
+            self._ask(host, now)
+
+    def _place_asked(self, waiting: inquiry.Inquiry, now: float) -> None:
+        """Place a flow by the answers of its candidates."""
+        hint = waiting.hint
+        if self._hints.get(waiting.item.flow) is not hint:
+            return
+        usable = self._targets.for_new_flow(waiting.item.flow, hint, now)
+        if not usable:
+            self._place(waiting.item, hint, now)
+            return
+        self._settle(waiting.item, hint, usable, waiting.group, now)
+
+    def _settle(
+        self,
+        item: packet.Packet,
+        hint: hints.Hint,
+        usable: list[placing.Candidate],
+        group: int,
+        now: float,
+    ) -> None:
+        """Send a new flow to the best of the candidates looked at so far.
+
+        Those that have just answered come first: who did not may be gone.
+        """
+        looked = usable[: group * placing.CANDIDATES]
+        answered = [one for one in looked if inquiry.is_fresh(one)]
+        chosen = placing.pick(
+            answered or looked, data_centre=self._data_centre
+        )
+        more = len(usable) > len(looked) and group < inquiry.GROUPS
+        if answered and more and placing.is_loaded(chosen):
+            self._place(item, hint, now, group=group + 1)
+            return
         hint.host = chosen.target.host
         self._targets.note_placed(chosen.target, now)
         self._meters.counters['placed'] += 1
@@ -180,6 +314,7 @@
             load=chosen.reported,
             load_age_ms=round(chosen.age_s * 1000),
             candidates=len(usable),
+            answered=len(answered),
             **self._flow_inputs,
         )
         self._forward(item, hint)
@@ -188,6 +323,7 @@
         """Reset a flow that is not open: nothing of it has run."""
         self._meters.counters['refused'] += 1
         self._hints.drop(item.flow)
+        self._inquiries.drop(item.flow)
         self._reporter.note(
             'refused',
             flow=reporting.flow_text(item.flow),
@@ -209,7 +345,8 @@
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
         if envelope.kind == control.KIND_LOCATED:
-            hint = self._hints.get(envelope.body)
+            flow = control.read_located(envelope.body).flow
+            hint = self._hints.get(flow)
             if hint is not None:
                 self._locator.on_located(envelope, hint, host, now)
             return
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -8,16 +8,26 @@
 from teaseldock import flow as flows
 from teaseldock.packets import control
 from teaseldock.packets import holdings
+from teaseldock.packets import inquiry
+from teaseldock.packets import mesh
 from teaseldock.packets import placing
+from teaseldock.packets import ranking
 from teaseldock.packets import records
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import hints
     from teaseldock.packets import knowledge
-    from teaseldock.packets import mesh
 
 #: Placements remembered for each target; more than the reports of 0.4 s miss.
 PLACEMENTS_KEPT = 64
+#: Targets that a new flow may get to see, the first in its order.
+SAMPLE = placing.CANDIDATES * inquiry.GROUPS
+#: Agents among which those are chosen that ask others about a flow: one for
+#: each 40 targets, and others in turn if they are silent.
+RELAYS = 16
+#: Seconds after the removal of an entry in which its server may live: the
+#: agent is asked at the removal, and tells all balancers by itself.
+GONE_AFTER_S = 0.5
 
 #: See :attr:`teaseldock.packets.records.Target.run`.
 Run = tuple[str, int]
@@ -43,9 +53,11 @@
         self._placed: dict[Run, collections.deque[float]] = {}
         self._first_seen: dict[Run, float] = {}
         self._suspected: dict[str, float] = {}
+        self._orders = ranking.Orders()
 
     def refresh(self, now: float) -> None:
         """Take over changed entries."""
+        self._orders.clear()
         known = {item.run for item in self._knowledge.targets.values()}
         for run in known:
             self._first_seen.setdefault(run, now)
@@ -70,9 +82,15 @@
         self._suspected[host] = now
 
     def is_silent(self, target: records.Target, now: float) -> bool:
-        """Tell whether the agent of a target is away or about to be."""
+        """Tell whether the agent of a target doesn't answer.
+
+        Nothing is known of most targets; they are asked before they get a
+        flow.
+        """
         peer = self._mesh.peers.get(target.host)
-        if peer is None or peer.leaving or peer.silent(now):
+        if peer is None:
+            return False
+        if peer.leaving or peer.missing(now):
             return True
         suspected_at = self._suspected.get(target.host, 0.0)
         return suspected_at > (peer.heard_at or 0.0)
@@ -85,20 +103,60 @@
         return self._data_centre
 
     def for_new_flow(
-        self, hint: hints.Hint, now: float
+        self, flow: bytes, hint: hints.Hint, now: float
     ) -> list[placing.Candidate]:
-        """Return the targets that may get a new flow."""
-        usable = [
-            self._candidate(target, now)
-            for target in self._placeable(hint.service, now)
-            if target.host not in hint.tried and target.host not in hint.denied
+        """Return the first targets that may get a new flow, in its order."""
+        first = self._candidates(
+            self._first(flow, hint.service, now), hint, now
+        )
+        accepting = [
+            item
+            for item in first
+            if item.reported is None or item.reported.accepting
         ]
+        if accepting:
+            return accepting[:SAMPLE]
+        # The first in the order are away, or take nothing.
+        targets = self._placeable(hint.service, now)
+        order = placing.ranked(flow, targets, near=self.near(flow))
+        others = self._candidates(order, hint, now)
         accepting = [
             item
-            for item in usable
+            for item in others
             if item.reported is None or item.reported.accepting
         ]
-        return accepting or usable
+        return (accepting or others)[:SAMPLE]
+
+    def _candidates(
+        self, targets: list[records.Target], hint: hints.Hint, now: float
+    ) -> list[placing.Candidate]:
+        return [
+            self._candidate(target, now)
+            for target in targets
+            if target.host not in hint.tried and target.host not in hint.denied
+        ]
+
+    def _first(
+        self, flow: bytes, service: str, now: float
+    ) -> list[records.Target]:
+        near = self.near(flow)
+        targets = self._knowledge.of_service(service)
+        first = self._orders.first(flow, service, targets, near=near)
+        lapsed = self._lapsed(service, now)
+        if lapsed:
+            first = placing.ranked(
+                flow, first + lapsed, near=near, count=ranking.KEPT
+            )
+        return [
+            target
+            for target in first
+            if not target.draining and not self.is_silent(target, now)
+        ]
+
+    def _lapsed(self, service: str, now: float) -> list[records.Target]:
+        if not self._mesh.recent_outage(now):
+            return []
+        return self._knowledge.lapsed_of(service, now)
 
     def _placeable(self, service: str, now: float) -> list[records.Target]:
         targets = [
@@ -106,12 +164,7 @@
             for target in self._knowledge.of_service(service)
             if not target.draining
         ]
-        if self._mesh.recent_outage(now):
-            targets += [
-                target
-                for target in self._knowledge.lapsed_of(service, now)
-                if not self.is_silent(target, now)
-            ]
+        targets += self._lapsed(service, now)
         alive = [item for item in targets if not self.is_silent(item, now)]
         return alive or targets
 
@@ -126,17 +179,21 @@
         placed = self._placed.get(target.run, ())
         shown = reported_at - placing.UNREPORTED_S
         first_seen = self._first_seen.get(target.run, now)
-        # All balancers see the same reports and take the same target for the
-        # least loaded. Had each counted its own placements only, a target that
-        # has just started would get as many flows from each of 22 balancers
-        # as from one: 50 requests waited there for up to 3 s. Reckoning that
-        # the others place alike, 9 to 12 are there at the most (test).
-        placers = len(self._mesh.balancers()) + 1
+        age_s = now - reported_at
+        unreported = sum(1 for at in placed if at > shown)
+        if age_s > inquiry.FRESH_S:
+            # All balancers see old reports alike and take the same target for
+            # the least loaded. Had each counted its own placements only, a
+            # target that has just started would get as many flows from each
+            # of 22 balancers as from one: 50 requests waited there for up to
+            # 3 s. Reckoning that the others place alike, 9 to 12 are there at
+            # the most (test).
+            unreported *= len(self._mesh.balancers()) + 1
         return placing.Candidate(
             target,
             heartbeat.server_load if heartbeat else None,
-            now - reported_at,
-            placers * sum(1 for at in placed if at > shown),
+            age_s,
+            unreported,
             (now - first_seen) * 1000 < target.warmup_ms,
             heartbeat.failing_percent / 100 if heartbeat else 0.0,
         )
@@ -153,11 +210,11 @@
         services = [hint.service, *self._knowledge.services_of(address)]
         targets: list[records.Target] = []
         for service in dict.fromkeys(services):
-            targets += placing.ranked(
-                flow,
-                self._knowledge.of_service(service),
-                near=self.near(flow),
+            of_service = self._knowledge.of_service(service)
+            targets += self._orders.first(
+                flow, service, of_service, near=self.near(flow)
             )
+            targets += of_service
         targets.sort(key=lambda target: target.host not in hint.tried)
         hosts = dict.fromkeys(target.host for target in targets)
         hosts.update(
@@ -175,7 +232,7 @@
         hosts = []
         for host in self._hosts_with_servers(now):
             peer = self._mesh.peers.get(host)
-            if peer is None or peer.silent(now):
+            if peer is None or not peer.heard_within(mesh.TRUSTED_S, now):
                 hosts.append(host)
             elif holdings.may_hold(peer.heartbeat, address, tags, since=since):
                 hosts.append(host)
@@ -196,26 +253,29 @@
         hosts += [
             item.target.host
             for item in self._knowledge.vanished(now)
-            if outage or not self.is_silent(item.target, now)
+            if outage or now - item.at < GONE_AFTER_S
         ]
         hosts += [
             peer.host
             for peer in self._mesh.agents()
             if not self._knowledge.is_registered(peer.host)
-            and peer.heard_at is not None
-            and not peer.silent(now)
+            and peer.heard_within(mesh.TRUSTED_S, now)
+            and not peer.leaving
         ]
         return hosts
 
-    def lags(self, now: float) -> bool:
+    def lags(self, told: int, now: float) -> bool:
         """Tell whether others know of places that this balancer doesn't.
 
         So does a balancer that has just started while entries expire for want
         of the store: it hears of those targets by their agents alone.
+
+        :param told: the newest layout revision of those who were asked.
         """
         if self._mesh.young(now) and self._mesh.recent_outage(now):
             return True
-        return self._mesh.newest_layout(now) > self._knowledge.revision
+        newest = max(told, self._mesh.newest_layout(now))
+        return newest > self._knowledge.revision
 
     def relays(self, flow: bytes, now: float) -> list[str]:
         """Return the agents that may ask others about a flow, in order.
@@ -223,10 +283,14 @@
         Those of the balancer's own data centre come first: the packet that
         goes along is charged when it crosses.
         """
-        targets = [
-            target
-            for target in self._knowledge.targets.values()
-            if not self.is_silent(target, now)
-        ]
-        ordered = placing.ranked(flow, targets, near=self._data_centre)
+        targets = self._knowledge.targets.values()
+        usable = [item for item in targets if not self.is_silent(item, now)]
+        heard = [item for item in usable if self._is_heard(item.host, now)]
+        ordered = placing.ranked(
+            flow, heard or usable, near=self._data_centre, count=RELAYS
+        )
         return list(dict.fromkeys(target.host for target in ordered))
+
+    def _is_heard(self, host: str, now: float) -> bool:
+        peer = self._mesh.peers.get(host)
+        return peer is not None and peer.heard_within(mesh.SILENT_S, now)
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -43,6 +43,12 @@
 #: The outcome of it: the flow's key and the hosts that it is true of; the
 #: detail tells whether they hold the flow.
 KIND_RELAYED = 9
+#: The question how busy an agent's server is; a heartbeat answers it.
+KIND_ASK = 10
+#: The request for changes beyond a revision, which is the body.
+KIND_WANT = 11
+#: The answer to it of a process that has sent enough: who else has them.
+KIND_REFER = 12
 #: Bytes of an IPv4 address, and of a flow's key.
 _HOST_BYTES = 4
 _FLOW_BYTES = 12
@@ -50,6 +56,8 @@
 FRAGMENT_BYTES = 1200
 #: Index and count of a fragment, and a number for all of one transfer.
 _FRAGMENT = struct.Struct('>HHI')
+#: A revision of the store.
+_REVISION = struct.Struct('>Q')
 
 
 class Heartbeat(typing.NamedTuple):
@@ -70,6 +78,8 @@
     :ivar layout_revision: of the newest change that it knows of where flows
         may be, see :attr:`teaseldock.packets.knowledge.Knowledge`.
     :ivar holdings: what is to be known of the flows that it holds.
+    :ivar outage_ms: age of the last failed call to the store that it knows
+        of, its own or a peer's; -1 if it knows of none.
     """
 
     is_balancer: bool
@@ -83,6 +93,7 @@
     failing_percent: int = 0
     layout_revision: int = 0
     holdings: holdings.Holdings = holdings.NOTHING_KNOWN
+    outage_ms: int = -1
 
     @property
     def balancers(self) -> list[str]:
@@ -95,7 +106,7 @@
 
     :ivar kind: one of the kinds of this module.
     :ivar detail: for a returned packet, why; for an answer, whether the flow
-        is held.
+        is held; for a heartbeat, whether it answers a question.
     :ivar tag: of the service, see :func:`service_tag`. For an answer, of the
         service of whoever answers; 0 for a question.
     :ivar body: what follows the head.
@@ -118,14 +129,28 @@
     raw: bytes
 
 
+class Located(typing.NamedTuple):
+    """An agent's answer whether its server holds a flow.
+
+    :ivar flow: the flow's key.
+    :ivar layout_revision: of the newest change that the agent knows of where
+        flows may be, see :class:`Heartbeat`.
+    """
+
+    flow: bytes
+    layout_revision: int
+
+
 class Outcome(typing.NamedTuple):
     """What came of an errand.
 
     :ivar flow: the flow's key.
+    :ivar layout_revision: the newest that any of the hosts told.
     :ivar hosts: instances that the outcome is true of.
     """
 
     flow: bytes
+    layout_revision: int
     hosts: list[str]
 
 
@@ -164,19 +189,95 @@
     return Errand(read_hosts(body[1:end]), body[end:])
 
 
+def pack_located(holding: int, tag: int, answer: Located) -> bytes:
+    """Return an agent's answer as a datagram.
+
+    :param tag: of the service of whoever answers.
+    """
+    body = answer.flow + _REVISION.pack(answer.layout_revision)
+    return pack(KIND_LOCATED, holding, tag, body)
+
+
+def read_located(body: bytes) -> Located:
+    """Read an agent's answer.
+
+    :raises MessageError: if the bytes are none.
+    """
+    if len(body) != _FLOW_BYTES + _REVISION.size:
+        raise exceptions.MessageError(
+            'located',
+            f'{len(body)} bytes hold no flow and revision',
+            remedy='run one version on all processes; it was dropped',
+        )
+    return Located(body[:_FLOW_BYTES], read_revision(body[_FLOW_BYTES:]))
+
+
+def pack_outcome(holding: int, tag: int, outcome: Outcome) -> bytes:
+    """Return the outcome of an errand as a datagram."""
+    body = (
+        outcome.flow
+        + _REVISION.pack(outcome.layout_revision)
+        + pack_hosts(outcome.hosts)
+    )
+    return pack(KIND_RELAYED, holding, tag, body)
+
+
 def read_outcome(body: bytes) -> Outcome:
     """Read the outcome of an errand.
 
     :raises MessageError: if the bytes are none.
     """
-    hosts_bytes = len(body) - _FLOW_BYTES
+    start = _FLOW_BYTES + _REVISION.size
+    hosts_bytes = len(body) - start
     if hosts_bytes <= 0 or hosts_bytes % _HOST_BYTES:
         raise exceptions.MessageError(
             'relayed',
             f'{len(body)} bytes hold no flow and hosts',
             remedy='run one version on all processes; it was dropped',
         )
-    return Outcome(body[:_FLOW_BYTES], read_hosts(body[_FLOW_BYTES:]))
+    return Outcome(
+        body[:_FLOW_BYTES],
+        read_revision(body[_FLOW_BYTES:start]),
+        read_hosts(body[start:]),
+    )
+
+
+def pack_want(revision: int) -> bytes:
+    """Return the request for all changes beyond a revision."""
+    return pack(KIND_WANT, 0, 0, _REVISION.pack(revision))
+
+
+def pack_referral(host: str) -> bytes:
+    """Return the advice to ask another process for changes."""
+    return pack(KIND_REFER, 0, 0, pack_hosts([host]))
+
+
+def read_referral(body: bytes) -> str:
+    """Read whom to ask for changes.
+
+    :raises MessageError: if the bytes are none.
+    """
+    if len(body) != _HOST_BYTES:
+        raise exceptions.MessageError(
+            'referral',
+            f'{len(body)} bytes hold no address',
+            remedy='run one version on all processes; it was dropped',
+        )
+    return read_hosts(body)[0]
+
+
+def read_revision(body: bytes) -> int:
+    """Read a revision of the store.
+
+    :raises MessageError: if the bytes are none.
+    """
+    if len(body) != _REVISION.size:
+        raise exceptions.MessageError(
+            'revision',
+            f'{len(body)} bytes hold no revision',
+            remedy='run one version on all processes; it was dropped',
+        )
+    return _REVISION.unpack(body)[0]
 
 
 def service_tag(service: str) -> int:
@@ -209,9 +310,12 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-def pack_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Return a heartbeat as a datagram."""
-    return pack(KIND_HEARTBEAT, 0, 0, _ENCODER.encode(heartbeat))
+def pack_heartbeat(heartbeat: Heartbeat, *, asked: bool = False) -> bytes:
+    """Return a heartbeat as a datagram.
+
+    :param asked: whether it answers a question.
+    """
+    return pack(KIND_HEARTBEAT, asked, 0, _ENCODER.encode(heartbeat))
 
 
 def _undecodable(place: str, error: Exception) -> exceptions.MessageError:
--- a/packages/teaseldock/teaseldock/packets/locating.py
+++ b/packages/teaseldock/teaseldock/packets/locating.py
@@ -4,8 +4,8 @@
 
 import typing
 
-from teaseldock import budget
 from teaseldock.packets import control
+from teaseldock.packets import control_budget
 from teaseldock.packets import hints
 from teaseldock.packets import reporting
 from teaseldock.packets import searching
@@ -17,6 +17,7 @@
 
 Forward = typing.Callable[['packet.Packet', hints.Hint], None]
 Inputs = typing.Callable[[], dict[str, typing.Any]]
+CatchUp = typing.Callable[[float], None]
 
 
 class Locator:
@@ -28,6 +29,8 @@
         *,
         forward: Forward,
         inputs: Inputs,
+        control_bytes: control_budget.ControlBudget,
+        catch_up: CatchUp,
         outlet: node.Outlet,
         reporter: reporting.Reporter,
         meters: reporting.Meters,
@@ -36,6 +39,8 @@
 
         :param forward: sends a packet where its hint says.
         :param inputs: returns the versions that decide, for log lines.
+        :param control_bytes: what may be spent on searches.
+        :param catch_up: asks for changes that others know of.
         """
         self._targets = targets
         self._forward = forward
@@ -44,10 +49,8 @@
         self._reporter = reporter
         self._meters = meters
         self._searched: dict[bytes, hints.Hint] = {}
-        self._budget = budget.Budget(
-            bytes_per_s=searching.BYTES_PER_S,
-            burst_bytes=searching.BYTES_AT_ONCE,
-        )
+        self._budget = control_bytes
+        self._catch_up = catch_up
 
     def search(
         self, item: packet.Packet, hint: hints.Hint, now: float
@@ -78,7 +81,7 @@
         if search.over:
             self._end_in_vain(flow, hint, search, now)
             return
-        if not self._budget.has_room(now):
+        if not self._budget.allows(control_budget.Purpose.SEARCH, now):
             self._meters.counters['questions_delayed'] += 1
             return
         for host in search.due():
@@ -114,24 +117,23 @@
             turn += 1
 
     def _send(self, host: str, datagram: bytes) -> None:
-        size = len(datagram) + searching.HEADER_BYTES
         self._meters.counters['asked'] += 1
-        self._meters.counters['search_bytes'] += size
-        self._budget.spend(size)
+        self._budget.spend(control_budget.Purpose.SEARCH, len(datagram))
         self._outlet.to_process(host, datagram)
 
     def on_located(
         self, answer: control.Envelope, hint: hints.Hint, host: str, now: float
     ) -> None:
         """Take an agent's answer."""
-        flow, search = answer.body, hint.search
+        flow, layout_revision = control.read_located(answer.body)
+        search = hint.search
         if search is None:
             return
         if answer.detail == searching.Holding.HELD:
             self._found(flow, hint, host, answer.tag, now)
             return
         if answer.detail == searching.Holding.NOT_HELD:
-            search.deny(host)
+            search.deny(host, layout_revision)
         else:
             search.doubt(host)
         self._ask(flow, hint, now)
@@ -151,7 +153,7 @@
             self._found(outcome.flow, hint, outcome.hosts[0], answer.tag, now)
             return
         for host in outcome.hosts:
-            search.deny(host)
+            search.deny(host, outcome.layout_revision)
         self._ask(outcome.flow, hint, now)
 
     def _found(
@@ -192,11 +194,13 @@
         """Give a flow up, if all who may hold it by now have said no.
 
         A target may have joined that this balancer has not heard of, and hold
-        the flow. Heartbeats tell that there are changes; without waiting for
-        them the flow of a server that lives would be reset.
+        the flow. Heartbeats, and the denials themselves, tell that there are
+        changes; without waiting for them the flow of a server that lives
+        would be reset.
         """
-        if self._targets.lags(now):
+        if self._targets.lags(search.layout_revision, now):
             self._meters.counters['verdicts_delayed'] += 1
+            self._catch_up(now)
             return
         search.restrict(self._targets.holders(flow, hint, now))
         if search.over:
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -1,43 +1,73 @@
-"""Know the other processes: who is alive, who reads the store, who lags.
-
-Agents and balancers exchange heartbeats directly. Agents find balancers by
-the seeds and by what balancers tell of each other; balancers find agents by
-the registered targets, whose agents run on the same instance.
+"""Know the other processes: who is alive, who reads the store, who is ahead.
+
+The load it answers: hundreds of processes, of which each needs to hear that
+others live and whether they know something newer. All balancers telling all
+processes cost 20 KB/s each at 195 processes, and most of the system's
+processor time. So what one process sends depends on fixed fan-outs and not on
+the size of the fleet: a balancer tells a dozen others at a time in turn, and
+the agents that report to it; an agent reports to four balancers. Who is not
+heard is asked when it matters (:mod:`teaseldock.packets.inquiry`).
+
+Agents find balancers by the seeds, by what balancers tell of each other, and
+by balancers that call on registered instances.
 """
 
 from __future__ import annotations
 
+import random
 
 import siphash24
 
 from teaseldock.packets import control
 
-#: Seconds between two heartbeats of a balancer to another, and to an agent.
-#: Three and two fit into SILENT_S. With 98 agents and 26 balancers: 15 KB/s.
-BALANCER_INTERVAL_S = 0.4
+#: Seconds between two rounds of heartbeats, of a balancer to others and of an
+#: agent to those that it reports to, and between two of a balancer to an agent
+#: that reports to it. Three and two fit into SILENT_S.
+ROUND_S = 0.4
 TO_AGENT_INTERVAL_S = 0.6
-#: Seconds between two heartbeats that name other balancers. Naming 24 in each
-#: took 56 KB/s at 98 agents.
+#: Processes that are told in one round at the most: up to 13 balancers hear
+#: each other in every round; 59 do so in five rounds, with what they heard in
+#: between from others. A round of 12 takes 2.4 KB/s with headers.
+FAN_OUT = 12
+#: Balancers that an agent reports to. Two may end at once without leaving it
+#: without news; each balancer hears four times the agents over the balancers.
+REPORTS_TO = 4
+#: Registered instances that a balancer calls on in each round though nobody
+#: reports from there, so that an agent without a living seed is found: one of
+#: 136 by 59 balancers within a second. It answers only if it lacks balancers.
+CALLS_A_ROUND = 1
+#: Seconds between two heartbeats that name other balancers to a process that
+#: knows some, and how many they name, drawn at random. Naming 24 in each took
+#: 56 KB/s at 98 agents, and 2.6 of 5.3 KB/s at 59 balancers every two seconds.
 NAMING_INTERVAL_S = 2.0
+NAMED_AGAIN = 4
 #: Seconds after its start when all that live have heard of a process and
 #: have told it of themselves: a naming and a heartbeat.
 KNOWN_AFTER_S = NAMING_INTERVAL_S + 0.6
-#: Seconds between two heartbeats of an agent to each balancer: while its load
-#: changes, and otherwise. A placement that is 100 ms old is off by one request
-#: at 10 new flows a second and target.
-BUSY_INTERVAL_S = 0.1
-IDLE_INTERVAL_S = 0.4
-#: Bytes a second that a balancer may spend on hearing agents (letter 1); a
-#: heartbeat takes 52 and 28 of headers. Beyond 12 agents the interval grows
-#: with their number.
-HEARING_BYTES_PER_S = 10_000.0
-HEARTBEAT_BYTES = 80.0
 #: Seconds without a heartbeat after which a process counts as silent: three
 #: intervals at the longest, so that two lost datagrams don't do it.
 SILENT_S = 1.3
-#: Seconds that a process which was never heard has to answer the heartbeat
-#: that it gets when it becomes known: ten round trips between data centres.
-FIRST_ANSWER_S = 0.05
+#: Rounds without a heartbeat after which a balancer counts as silent, where
+#: there are more than can be told in one round.
+SILENT_ROUNDS = 2.5
+#: Seconds for which an agent counts as reporting after its last report.
+REPORTING_S = 1.5
+#: Seconds for which it is trusted what an agent told of the flows it holds.
+#: An agent for which that changes tells everybody at once.
+TRUSTED_S = 3.0
+#: Seconds without an answer to a question after which a process counts as
+#: missing: thirty round trips between data centres.
+ANSWER_S = 0.1
+#: Seconds for which it counts as missing; it is asked again then, since
+#: nobody else tells that it is back.
+MISSING_S = 1.0
+#: Seconds without a word of a balancer that an agent reports to, until it
+#: reports to another one, and until that one is tried again.
+DESERTED_S = 1.3
+TRY_AGAIN_S = 5.0
+#: Age in seconds that what was heard is given after a pause of this process:
+#: in touch, but soon to be confirmed.
+WOKE_MARGIN_S = 0.1
 #: Seconds after which a silent process is forgotten.
 FORGET_S = 30.0
 #: Processes that read the store at a time. Two, so that the death of one
@@ -48,6 +78,9 @@
 #: of 2 s means that both readers are gone. With the 0.3 s that a read takes on
 #: a slow store it keeps the 3 s that changes may take.
 TAKEOVER_S = 2.0
+#: Rounds that a confirmation takes to be known everywhere where not all hear
+#: each other in one round; added to the age above.
+RELAY_ROUNDS = 2
 #: Seconds between two of those that take over, in order of rank.
 TAKEOVER_STEP_S = 0.25
 #: Seconds over which agents that take over are spread by rank: they know the
@@ -56,15 +89,13 @@
 #: Seconds that a started balancer waits for a peer's word before it reads: a
 #: round trip to another data centre takes 3 ms, a full read costs two calls.
 START_WAIT_S = 0.04
-#: Seconds until changes are sent again to a process that still lacks them: a
-#: heartbeat that tells of the new revision comes within IDLE_INTERVAL_S.
-RESEND_S = 0.6
 #: Seconds for which an outage of the store is remembered: entries that expire
 #: within them may do so for want of the store, three heartbeats after it went.
 OUTAGE_MEMORY_S = 10.0
-#: Balancers named in a heartbeat; bounds its length.
-BALANCERS_NAMED = 24
+#: Balancers named to a process that has started; bounds the heartbeat.
+NAMED_FIRST = 24
 _RANK_KEY = b'teaseldock-read2'
+_REPORT_KEY = b'teaseldock-tell1'
 
 
 class Peer:
@@ -79,9 +110,11 @@
         self.known_at = 0.0
         self.told_at = 0.0
         self.named_at = 0.0
-        self.sent_upto = 0
-        self.sent_at = 0.0
-        self.assembler = control.Assembler()
+        self.reported_at: float | None = None
+        # Since when it owes an answer to a question, or any word at all.
+        self.asked_at: float | None = None
+        self.unheard_since: float | None = None
+        self.rank = reader_rank(host)
 
     @property
     def revision(self) -> int:
@@ -93,11 +126,55 @@
         """Tell whether the process is about to stop."""
         return bool(self.heartbeat and self.heartbeat.leaving)
 
-    def silent(self, now: float) -> bool:
-        """Tell whether the process has not been heard for too long."""
-        if self.heard_at is None:
-            return now - self.known_at > FIRST_ANSWER_S
-        return now - self.heard_at > SILENT_S
+    def heard_within(self, seconds: float, now: float) -> bool:
+        """Tell whether the process was heard in the last seconds."""
+        return self.heard_at is not None and now - self.heard_at <= seconds
+
+    def reports(self, now: float) -> bool:
+        """Tell whether an agent reports here by itself."""
+        if self.is_balancer or self.reported_at is None:
+            return False
+        return now - self.reported_at <= REPORTING_S
+
+    def missing(self, now: float) -> bool:
+        """Tell whether the process owes the answer to a question."""
+        if self.asked_at is None:
+            return False
+        return ANSWER_S < now - self.asked_at < ANSWER_S + MISSING_S
+
+    def asked(self, now: float) -> None:
+        """Note a question; one that waits for its answer stays the first."""
+        if self.asked_at is None or now - self.asked_at > MISSING_S:
+            self.asked_at = now
+
+    def told(self, now: float) -> None:
+        """Note a heartbeat to the process."""
+        self.told_at = now
+        if self.unheard_since is None:
+            self.unheard_since = now
+
+    def deserts(self, now: float) -> bool:
+        """Tell whether the process has no word for whoever reports to it."""
+        if self.unheard_since is None:
+            return False
+        if now - self.unheard_since <= DESERTED_S:
+            return False
+        return now - self.told_at < TRY_AGAIN_S
+
+    def hear(
+        self, heartbeat: control.Heartbeat, now: float, *, asked: bool
+    ) -> None:
+        """Take over what the process says of itself.
+
+        :param asked: whether it answers a question.
+        """
+        if not asked:
+            self.reported_at = now
+        self.heartbeat = heartbeat
+        self.is_balancer = heartbeat.is_balancer
+        self.heard_at = now
+        self.asked_at = None
+        self.unheard_since = None
 
 
 def reader_rank(host: str) -> bytes:
@@ -109,21 +186,31 @@
     """All processes that this one talks with."""
 
     def __init__(
-        self, host: str, *, is_balancer: bool, seeds: list[str], now: float
+        self,
+        host: str,
+        *,
+        is_balancer: bool,
+        seeds: list[str],
+        randomness: random.Random,
+        now: float,
     ) -> None:
         """Start with the seeds as balancers that were not heard.
 
         :param host: own IPv4 address.
         :param seeds: hosts of balancers; may be out of date.
         """
+        self._random = randomness
+        self._own_rank = reader_rank(host)
         self._host = host
         self._is_balancer = is_balancer
         self._peers: dict[str, Peer] = {}
         self._seeds: list[str] = []
+        self._registered: set[str] = set()
         self._started = now
         self._confirmed_at: float | None = None
         self._store_failing = False
         self._outage_at: float | None = None
+        self._round_at = 0.0
         self.learn_seeds(seeds, now)
 
     @property
@@ -173,20 +260,32 @@
 
     def learn_agents(self, hosts: set[str], now: float) -> None:
         """Take the instances of registered targets as agents to talk with."""
+        self._registered = hosts
         for host in hosts:
             if host != self._host:
                 self._learn(host, is_balancer=False, now=now)
 
+    def learn_balancer(self, host: str, now: float) -> None:
+        """Take the sender of a balancer's message as one."""
+        self._learn(host, is_balancer=True, now=now)
+
     def hear(
-        self, host: str, heartbeat: control.Heartbeat, now: float
+        self,
+        host: str,
+        heartbeat: control.Heartbeat,
+        now: float,
+        *,
+        asked: bool = False,
     ) -> Peer:
-        """Take over the heartbeat of a process on an instance."""
+        """Take over the heartbeat of a process on an instance.
+
+        :param asked: whether it answers a question.
+        """
         peer = self._learn(host, is_balancer=heartbeat.is_balancer, now=now)
-        peer.heartbeat = heartbeat
-        peer.is_balancer = heartbeat.is_balancer
-        peer.heard_at = now
-        if heartbeat.store_failing:
-            self._outage_at = now
+        peer.hear(heartbeat, now, asked=asked)
+        if heartbeat.outage_ms >= 0:
+            outage_at = now - heartbeat.outage_ms / 1000
+            self._outage_at = max(self._outage_at or outage_at, outage_at)
         for named in heartbeat.balancers:
             if named != self._host:
                 self._learn(named, is_balancer=True, now=now)
@@ -218,35 +317,155 @@
             return -1
         return max(0, round((now - self._confirmed_at) * 1000))
 
-    def named_balancers(self, now: float) -> list[str]:
-        """Return balancers to tell others of, those heard last first."""
-        heard = [
-            peer
-            for peer in self._peers.values()
-            if peer.is_balancer and not peer.silent(now) and peer.heartbeat
-        ]
-        heard.sort(key=lambda peer: -(peer.heard_at or 0.0))
-        hosts = [peer.host for peer in heard[:BALANCERS_NAMED]]
+    def outage_ms(self, now: float) -> int:
+        """Return the age of the last failed call, -1 if there is none."""
+        if self._outage_at is None:
+            return -1
+        return max(0, round((now - self._outage_at) * 1000))
+
+    def _silent_s(self, balancers: int) -> float:
+        """Return seconds after which one of some balancers is silent."""
+        rounds = -(-balancers // FAN_OUT)
+        if rounds <= 1:
+            return SILENT_S
+        return max(SILENT_S, SILENT_ROUNDS * rounds * ROUND_S)
+
+    def is_new(
+        self, host: str, heartbeat: control.Heartbeat, now: float
+    ) -> bool:
+        """Tell whether a process has started, or was away, until now.
+
+        It waits for a word of this one then: the heartbeat that is due next
+        would leave it with an old view for half a second.
+        """
+        peer = self._peers.get(host)
+        if peer is None or peer.heartbeat is None:
+            return True
+        if peer.heartbeat.started != heartbeat.started:
+            return True
+        if heartbeat.is_balancer and not self._is_balancer:
+            # Balancers that an agent doesn't report to call now and then.
+            return False
+        after_s = SILENT_S
+        if heartbeat.is_balancer:
+            after_s = self._silent_s(len(self.balancers()))
+        return not peer.heard_within(after_s, now)
+
+    def wants(self, host: str, now: float) -> bool:
+        """Tell whether an agent should report to a balancer."""
+        living = self.living_balancers(now)
+        if len(living) < REPORTS_TO:
+            return True
+        return any(peer.host == host for peer in self.reported_to(now))
+
+    def living_balancers(self, now: float) -> list[Peer]:
+        """Return the balancers that have been heard lately."""
+        known = self.balancers()
+        after_s = SILENT_S
+        if self._is_balancer:
+            after_s = self._silent_s(len(known))
+        return [peer for peer in known if peer.heard_within(after_s, now)]
+
+    def names_due(self, peer: Peer, now: float) -> int:
+        """Return how many balancers the next heartbeat to a process names."""
+        if not peer.named_at:
+            count = NAMED_FIRST
+        elif now - peer.named_at < NAMING_INTERVAL_S:
+            return 0
+        else:
+            count = NAMED_AGAIN
+        peer.named_at = now
+        return count
+
+    def named_balancers(self, now: float, count: int) -> list[str]:
+        """Return some balancers to tell others of, and this one."""
+        heard = self.living_balancers(now)
+        named = self._random.sample(heard, min(count, len(heard)))
+        hosts = [peer.host for peer in named]
         if self._is_balancer:
             hosts.append(self._host)
         return hosts
 
-    def due(self, now: float, *, interval_s: float) -> list[Peer]:
+    def due(self, now: float, *, everybody: bool) -> list[Peer]:
         """Return the processes that a heartbeat is due to.
 
-        A balancer tells everybody, an agent the balancers. Silent ones are
-        still told, so that both halves of a healed partition meet again.
+        Silent ones are still told in their turn, so that both halves of a
+        healed partition meet again.
 
-        :param interval_s: seconds between two heartbeats to a balancer.
+        :param everybody: whether an agent has something to tell to all
+            balancers, not only to those that it reports to.
         """
+        if now - self._round_at < ROUND_S:
+            return self._new(now)
+        self._round_at = now
         self._forget(now)
-        return [
+        if self._is_balancer:
+            return self._next_balancers() + self._next_agents(now)
+        if everybody:
+            return self._next_balancers()
+        return self.reported_to(now)
+
+    def _new(self, now: float) -> list[Peer]:
+        """Return balancers that became known since the last round."""
+        new = [
             peer
             for peer in self._peers.values()
-            if (self._is_balancer or peer.is_balancer)
-            and now - peer.told_at
-            >= (interval_s if peer.is_balancer else TO_AGENT_INTERVAL_S)
+            if peer.is_balancer and not peer.told_at
+        ]
+        if self._is_balancer:
+            return new[:FAN_OUT]
+        # An agent that reports to enough of them doesn't look for more.
+        lacks = REPORTS_TO - len(self.living_balancers(now))
+        return new[: max(0, lacks)]
+
+    def _next_balancers(self) -> list[Peer]:
+        turn = sorted(self.balancers(), key=lambda peer: peer.told_at)
+        return turn[:FAN_OUT]
+
+    def _next_agents(self, now: float) -> list[Peer]:
+        """Return the agents that report here, and some that don't."""
+        reporting = []
+        others = []
+        for peer in self._peers.values():
+            if peer.is_balancer:
+                continue
+            if not peer.reports(now):
+                others.append(peer)
+            elif now - peer.told_at >= TO_AGENT_INTERVAL_S:
+                reporting.append(peer)
+        called = min(CALLS_A_ROUND, len(others))
+        return reporting + self._random.sample(others, called)
+
+    def reported_to(self, now: float) -> list[Peer]:
+        """Return the balancers that an agent reports to.
+
+        Each agent has an order of its own, so that all balancers hear about
+        as many. Those that don't answer are replaced; if all are gone, others
+        are tried in turn.
+        """
+        answering = [
+            peer
+            for peer in self.balancers()
+            if not peer.leaving and not peer.deserts(now)
         ]
+        if len(answering) <= REPORTS_TO:
+            return answering or self._next_balancers()
+        answering.sort(key=lambda peer: self._report_rank(peer.host))
+        return answering[:REPORTS_TO]
+
+    def _report_rank(self, host: str) -> bytes:
+        text = f'{self._host}>{host}'.encode()
+        return siphash24.siphash24(text, key=_REPORT_KEY).digest()
+
+    def to_notify(self, count: int, now: float) -> list[Peer]:
+        """Return whom to tell at once that something is new.
+
+        Some balancers that are behind, drawn at random, who tell others in
+        turn; and the agents that report here.
+        """
+        agents = [peer for peer in self._peers.values() if peer.reports(now)]
+        living = self.living_balancers(now)
+        return agents + self._random.sample(living, min(count, len(living)))
 
     def _forget(self, now: float) -> None:
         stale = [
@@ -254,37 +473,36 @@
             for peer in self._peers.values()
             if now - (peer.heard_at or peer.known_at) > FORGET_S
             and peer.host not in self._seeds
+            and peer.host not in self._registered
         ]
         for host in stale:
             del self._peers[host]
 
-    def hearing_interval(self, agents: int) -> float:
-        """Return how often each of some agents may report to a balancer."""
-        return max(
-            BUSY_INTERVAL_S, agents * HEARTBEAT_BYTES / HEARING_BYTES_PER_S
-        )
-
-    def lagging(self, revision: int, now: float) -> list[Peer]:
-        """Return heard processes that know less than a revision.
-
-        Those to which all of it was sent a moment ago are left out.
-        """
+    def ahead(self, revision: int, now: float) -> list[Peer]:
+        """Return heard processes that know more than a revision."""
         return [
             peer
             for peer in self._peers.values()
-            if peer.heartbeat is not None
-            and peer.revision < revision
-            and not peer.silent(now)
-            and (peer.sent_upto < revision or now - peer.sent_at > RESEND_S)
+            if peer.revision > revision and peer.heard_within(TRUSTED_S, now)
         ]
 
+    def woke(self, now: float) -> None:
+        """Put off all judgements on others: this process has stood still."""
+        self._round_at = 0.0
+        for peer in self._peers.values():
+            peer.asked_at = None
+            peer.unheard_since = None
+            if peer.heard_at is not None:
+                peer.heard_at = max(peer.heard_at, now - WOKE_MARGIN_S)
+
     def newest_layout(self, now: float) -> int:
         """Return the newest layout revision of all living processes."""
         return max(
             (
                 peer.heartbeat.layout_revision
                 for peer in self._peers.values()
-                if peer.heartbeat is not None and not peer.silent(now)
+                if peer.heartbeat is not None
+                and peer.heard_within(TRUSTED_S, now)
             ),
             default=0,
         )
@@ -298,27 +516,24 @@
         at a drained target; everybody reading at once would use up the
         store's rate.
         """
-        rank = self._rank(now, leaving=leaving)
+        age_s = now - (self._confirmed_at or self._started)
+        if not self._is_balancer and age_s <= TAKEOVER_S:
+            return False
+        living = self.living_balancers(now)
+        rank = self._rank(living, leaving=leaving)
         if self._is_balancer and rank < READERS:
             return now - self._started > START_WAIT_S
-        age_s = now - (self._confirmed_at or self._started)
         wait_s = TAKEOVER_S + TAKEOVER_STEP_S * rank
+        if len(self.balancers()) > FAN_OUT:
+            wait_s += RELAY_ROUNDS * ROUND_S
         if not self._is_balancer:
-            wait_s += AGENT_SPREAD_S * reader_rank(self._host)[0] / 255
+            wait_s += AGENT_SPREAD_S * self._own_rank[0] / 255
         return age_s > wait_s
 
-    def _rank(self, now: float, *, leaving: bool) -> int:
-        own = (not self._is_balancer, leaving, reader_rank(self._host))
-        ahead = 0
-        for peer in self._peers.values():
-            if peer.heartbeat is None or peer.silent(now):
-                continue
-            if peer.heartbeat.store_failing:
-                continue
-            order = (
-                not peer.is_balancer,
-                peer.leaving,
-                reader_rank(peer.host),
-            )
-            ahead += order < own
-        return ahead
+    def _rank(self, living: list[Peer], *, leaving: bool) -> int:
+        own = (not self._is_balancer, leaving, self._own_rank)
+        return sum(
+            (False, peer.leaving, peer.rank) < own
+            for peer in living
+            if peer.heartbeat and not peer.heartbeat.store_failing
+        )
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -8,9 +8,11 @@
 
 from teaseldock import exceptions
 from teaseldock.packets import control
+from teaseldock.packets import control_budget
 from teaseldock.packets import holdings
 from teaseldock.packets import knowledge
 from teaseldock.packets import mesh
+from teaseldock.packets import pulling
 from teaseldock.packets import reading
 from teaseldock.packets import reporting
 
@@ -18,10 +20,10 @@
     from teaseldock.packets import packet
     from teaseldock.packets import records
 
-#: Seconds after which a process that has changes from a peer sends them to
-#: whoever still lacks them. Who read them from the store sends them to all at
-#: once; if everybody did so, each change would cost the square of the fleet.
-SPREAD_AFTER_S = 0.5
+#: Balancers that are told at once of something new, and twice as many by who
+#: read it from the store. Each of them tells others: 4 reach 59 balancers in
+#: three generations of 3 ms.
+NOTIFIED = 4
 #: A gap between two ticks beyond this is a pause of this process, seconds.
 PAUSE_S = 1.0
 #: Seconds after a pause before the process acts on what it knew: thirty round
@@ -90,11 +92,13 @@
         reporter: reporting.Reporter,
         randomness: random.Random,
         now: float,
+        link_mbps: float = control_budget.UNKNOWN_LINK_MBPS,
     ) -> None:
         """Start knowing the seeds.
 
         :param host: own IPv4 address.
         :param seeds: hosts of balancers.
+        :param link_mbps: speed of this instance's link, megabits a second.
         :param now: seconds on a clock that never goes back.
         """
         self._host = host
@@ -106,8 +110,14 @@
         self._meters = reporting.Meters()
         self._knowledge = knowledge.Knowledge()
         self._mesh = mesh.Mesh(
-            host, is_balancer=is_balancer, seeds=seeds, now=now
+            host,
+            is_balancer=is_balancer,
+            seeds=seeds,
+            randomness=randomness,
+            now=now,
         )
+        self._budget = control_budget.ControlBudget(link_mbps)
+        self._pulling = pulling.Pulling(randomness)
         self._reading = reading.Reading(randomness)
         self._leaving = False
         self._started = int(now * 1000)
@@ -130,6 +140,11 @@
         """Return what is known of other processes."""
         return self._mesh
 
+    @property
+    def budget(self) -> control_budget.ControlBudget:
+        """Return what may be spent on control."""
+        return self._budget
+
     @property
     def leaving(self) -> bool:
         """Tell whether this process is about to stop."""
@@ -143,10 +158,6 @@
             'revision': self._knowledge.content_revision,
         }
 
-    @abc.abstractmethod
-    def _heartbeat_interval(self) -> float:
-        """Return seconds between two heartbeats to one process."""
-
     @abc.abstractmethod
     def _on_envelope(
         self, envelope: control.Envelope, host: str, now: float
@@ -171,13 +182,18 @@
         """Return what is to be told of the flows held here."""
         return holdings.NOTHING_KNOWN
 
+    def _concerns_everybody(self, now: float) -> bool:
+        """Tell whether all balancers have to hear this process."""
+        return False
+
     def leave(self, now: float) -> None:
         """Begin a graceful stop; a second call changes nothing."""
         if self._leaving:
             return
         self._leaving = True
         self._reporter.note('leaving', **self._flow_inputs)
-        self._tell(list(self._mesh.peers.values()), now)
+        self._tell(self._mesh.balancers(), now)
+        self._tell(self._mesh.to_notify(0, now), now)
 
     def distrusts(self, now: float) -> bool:
         """Tell whether what is known may be older than it looks."""
@@ -192,11 +208,12 @@
         """Do what is due; to be called some 20 times a second."""
         self.check_pause(now)
         self._last_tick = now
-        self._tell(
-            self._mesh.due(now, interval_s=self._heartbeat_interval()), now
-        )
-        self._spread(now)
+        everybody = self._concerns_everybody(now)
+        self._tell(self._mesh.due(now, everybody=everybody), now)
+        self._pull(now)
         self.read_if_due(now)
+        if self._budget.ran_dry(now):
+            self._reporter.note('control budget dry', **self._budget.spent)
 
     def _on_pause(self, now: float) -> None:
         # After a pause everybody looks silent and all knowledge may be old.
@@ -206,10 +223,8 @@
         self._meters.counters['pauses'] += 1
         self._reporter.note('paused', seconds=pause_s, **self._flow_inputs)
         self._distrust_until = now + DISTRUST_S
-        for peer in self._mesh.peers.values():
-            if peer.heard_at is not None:
-                peer.heard_at = max(peer.heard_at, now - mesh.BUSY_INTERVAL_S)
-        self._tell(list(self._mesh.peers.values()), now)
+        self._mesh.woke(now)
+        self._tell(self._mesh.due(now, everybody=False), now)
 
     def read_if_due(self, now: float) -> None:
         """Call the store if this process should and no call is under way."""
@@ -275,46 +290,90 @@
         if self._is_balancer:
             self._mesh.learn_agents(hosts, now)
         self._on_knowledge(now)
-        if source == SOURCE_STORE:
-            self._send_changes(
-                self._mesh.lagging(self._knowledge.content_revision, now), now
-            )
+        self._notify(2 * NOTIFIED if source == SOURCE_STORE else NOTIFIED, now)
         return True
 
+    def _notify(self, balancers: int, now: float) -> None:
+        """Tell some at once that there is something new for them to ask for.
+
+        Sending it along would bring it to a process as often as it has peers.
+        """
+        if not self._is_balancer:
+            return
+        notice = control_budget.Purpose.NOTICE
+        if not self._budget.allows(notice, now):
+            self._meters.counters['notices_left_out'] += 1
+            return
+        self._tell(self._mesh.to_notify(balancers, now), now, purpose=notice)
+
     def _note_unnamed(self) -> None:
         unnamed = self._knowledge.unnamed
         for identifier in sorted(unnamed - self._unnamed):
             self.entry_refused(f'{identifier}: no such service is configured')
         self._unnamed = unnamed
 
-    def _spread(self, now: float) -> None:
-        if now - self._knowledge.changed_at < SPREAD_AFTER_S:
+    def _pull(self, now: float) -> None:
+        """Ask for what others know and this process lacks, if it is time."""
+        if not self._pulling.due(now):
             return
-        self._send_changes(
-            self._mesh.lagging(self._knowledge.content_revision, now), now
+        own = self._knowledge.content_revision
+        source = self._pulling.choose(self._mesh.ahead(own, now))
+        if source is not None:
+            self._want(source.host, now)
+
+    def _want(self, host: str, now: float) -> None:
+        self._pulling.asked(host, now)
+        self._meters.counters['changes_wanted'] += 1
+        self._send(
+            host,
+            control.pack_want(self._knowledge.content_revision),
+            control_budget.Purpose.QUESTION,
         )
 
-    def _send_changes(self, peers: list[mesh.Peer], now: float) -> None:
-        packed: dict[int, list[bytes]] = {}
-        for peer in peers:
-            since = peer.revision
-            if since not in packed:
-                packed[since] = control.pack_changes(
-                    self._knowledge.changes_since(since)
-                )
-            peer.sent_at = now
-            peer.sent_upto = self._knowledge.content_revision
-            for datagram in packed[since]:
-                self._send(peer.host, datagram)
+    def _on_want(self, body: bytes, host: str, now: float) -> None:
+        """Send what a process lacks, unless too much was sent lately.
+
+        It then asks somebody else, who has it by now: so a change of 8 KB
+        doesn't leave one process a hundred times over a slim link.
+        """
+        since = control.read_revision(body)
+        if since >= self._knowledge.content_revision:
+            return
+        purpose = control_budget.Purpose.CHANGES
+        if not self._budget.allows(purpose, now):
+            self._refer(host)
+            return
+        self._meters.counters['changes_sent'] += 1
+        self._pulling.sent(host, self._knowledge.content_revision)
+        for datagram in control.pack_changes(
+            self._knowledge.changes_since(since)
+        ):
+            self._send(host, datagram, purpose)
+
+    def _refer(self, asker: str) -> None:
+        self._meters.counters['changes_put_off'] += 1
+        revision = self._knowledge.content_revision
+        other = self._pulling.referral(revision, asker)
+        if other is not None:
+            self._send(
+                asker,
+                control.pack_referral(other),
+                control_budget.Purpose.QUESTION,
+            )
+
+    def _on_referral(self, body: bytes, host: str, now: float) -> None:
+        """Ask another process, as one that was asked has advised."""
+        if self._pulling.expects(host) and not self._pulling.due(now):
+            self._want(control.read_referral(body), now)
 
-    def _send(self, host: str, datagram: bytes) -> None:
-        self._meters.counters['control_bytes_sent'] += len(datagram)
+    def _send(
+        self, host: str, datagram: bytes, purpose: control_budget.Purpose
+    ) -> None:
+        self._budget.spend(purpose, len(datagram))
         self._outlet.to_process(host, datagram)
 
-    def _tell(self, peers: list[mesh.Peer], now: float) -> None:
-        if not peers:
-            return
-        heartbeat = control.Heartbeat(
+    def _heartbeat(self, now: float) -> control.Heartbeat:
+        return control.Heartbeat(
             self._is_balancer,
             self._started,
             self._leaving,
@@ -326,26 +385,47 @@
             self._failing_percent(now),
             self._knowledge.layout_revision,
             self._holdings(now),
+            self._mesh.outage_ms(now),
         )
-        named = control.pack_hosts(self._mesh.named_balancers(now))
-        plain = control.pack_heartbeat(heartbeat)
-        naming = control.pack_heartbeat(heartbeat._replace(named=named))
+
+    def _tell(
+        self,
+        peers: list[mesh.Peer],
+        now: float,
+        *,
+        purpose: control_budget.Purpose = control_budget.Purpose.HEARTBEAT,
+    ) -> None:
+        if not peers:
+            return
+        heartbeat = self._heartbeat(now)
+        packed: dict[int, bytes] = {}
         for peer in peers:
-            peer.told_at = now
-            if now - peer.named_at < mesh.NAMING_INTERVAL_S:
-                self._send(peer.host, plain)
-                continue
-            peer.named_at = now
-            self._send(peer.host, naming)
+            peer.told(now)
+            count = self._mesh.names_due(peer, now)
+            if count not in packed:
+                named = self._mesh.named_balancers(now, count) if count else []
+                packed[count] = control.pack_heartbeat(
+                    heartbeat._replace(named=control.pack_hosts(named))
+                )
+            self._send(peer.host, packed[count], purpose)
 
     def on_datagram(self, datagram: bytes, host: str, now: float) -> None:
         """Handle a datagram at the internal port."""
         try:
             envelope = control.unpack(datagram)
             if envelope.kind == control.KIND_HEARTBEAT:
-                self._hear(control.read_heartbeat(envelope.body), host, now)
+                self._hear(
+                    control.read_heartbeat(envelope.body),
+                    host,
+                    now,
+                    asked=bool(envelope.detail),
+                )
             elif envelope.kind == control.KIND_CHANGES:
                 self._on_changes(envelope.body, host, now)
+            elif envelope.kind == control.KIND_WANT:
+                self._on_want(envelope.body, host, now)
+            elif envelope.kind == control.KIND_REFER:
+                self._on_referral(envelope.body, host, now)
             else:
                 self._on_envelope(envelope, host, now)
         except exceptions.TeaseldockError as error:
@@ -353,19 +433,16 @@
             self._reporter.note('datagram dropped', host=host, why=str(error))
 
     def _hear(
-        self, heartbeat: control.Heartbeat, host: str, now: float
+        self,
+        heartbeat: control.Heartbeat,
+        host: str,
+        now: float,
+        *,
+        asked: bool,
     ) -> None:
-        known = self._mesh.peers.get(host)
-        # Who starts, or wakes up, waits for our word; the next heartbeat that
-        # is due would leave it with an old view for half a second.
-        unheard = (
-            known is None
-            or known.heartbeat is None
-            or known.heartbeat.started != heartbeat.started
-            or known.silent(now)
-        )
-        peer = self._mesh.hear(host, heartbeat, now)
-        if unheard:
+        new = self._mesh.is_new(host, heartbeat, now)
+        peer = self._mesh.hear(host, heartbeat, now, asked=asked)
+        if new:
             peer.named_at = 0.0
             self._reporter.note(
                 'process heard',
@@ -373,17 +450,24 @@
                 balancer=heartbeat.is_balancer,
                 revision=heartbeat.revision,
             )
-            if self._is_balancer or heartbeat.is_balancer:
+            if self._greets(peer, now) and not asked:
                 self._tell([peer], now)
-            if heartbeat.revision < self._knowledge.content_revision:
-                self._send_changes([peer], now)
+        if heartbeat.revision > self._knowledge.content_revision:
+            self._pull(now)
         self._on_heartbeat(peer, now)
 
+    def _greets(self, peer: mesh.Peer, now: float) -> bool:
+        """Tell whether a process that is new hears of this one at once."""
+        if self._is_balancer:
+            return True
+        return peer.is_balancer and self._mesh.wants(peer.host, now)
+
     def _on_changes(self, body: bytes, host: str, now: float) -> None:
-        peer = self._mesh.peers.get(host)
-        if peer is None:
+        if not self._pulling.expects(host):
             self._meters.counters['dropped_changes_of_stranger'] += 1
             return
-        changes = peer.assembler.add(body)
-        if changes is not None:
-            self._take(changes, host, now)
+        changes = self._pulling.add(body, host)
+        if changes is None:
+            return
+        self._take(changes, host, now)
+        self._pull(now)
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import functools
+import heapq
 import typing
 
 import siphash24
 
+from teaseldock import flow as flows
+
 if typing.TYPE_CHECKING:
     from teaseldock import load
     from teaseldock.packets import records
@@ -58,6 +61,7 @@
 #: Addresses whose text is kept, so that each is not made anew for each flow.
 ADDRESSES_KEPT = 4096
 _RANK_KEY = b'teaseldock-rank1'
+_BUCKET_KEY = b'teaseldock-bucke'
 
 
 class Candidate(typing.NamedTuple):
@@ -80,9 +84,18 @@
     failing: float = 0.0
 
 
+def bucket(flow: bytes) -> int:
+    """Return the bucket of a flow: flows of one have the same ranks."""
+    return flows.bucket_of(flow, key=_BUCKET_KEY)
+
+
 def rank(flow: bytes, target: records.Target) -> bytes:
     """Return the order of a target among those that a flow may be at."""
-    text = flow + _address_text(target.host, target.port)
+    return _rank_in(bucket(flow), target)
+
+
+def _rank_in(number: int, target: records.Target) -> bytes:
+    text = bytes((number,)) + _address_text(target.host, target.port)
     return siphash24.siphash24(text, key=_RANK_KEY).digest()
 
 
@@ -92,18 +105,25 @@
 
 
 def ranked(
-    flow: bytes, targets: list[records.Target], *, near: str | None
+    flow: bytes,
+    targets: list[records.Target],
+    *,
+    near: str | None,
+    count: int | None = None,
 ) -> list[records.Target]:
     """Return targets in the order in which a flow may be at them.
 
     :param near: data centre whose targets come first, for flows that carry
         many bytes; those that cross are charged.
+    :param count: how many are wanted; all if it is not given.
     """
-    return sorted(
+    number = bucket(flow)
+    return heapq.nsmallest(
+        len(targets) if count is None else count,
         targets,
         key=lambda item: (
             near is not None and item.data_centre != near,
-            rank(flow, item),
+            _rank_in(number, item),
         ),
     )
 
@@ -161,12 +181,26 @@
         near=data_centre if bulky else None,
     )
     ordered = [known[target.identifier] for target in order]
+    return pick(ordered, data_centre=data_centre)
+
+
+def is_loaded(candidate: Candidate) -> bool:
+    """Tell whether a flow should rather go to somebody else."""
+    return occupancy(candidate) + FAILING_COST * candidate.failing >= LOADED
+
+
+def pick(ordered: list[Candidate], *, data_centre: str) -> Candidate:
+    """Return where a new flow goes among candidates in its order.
+
+    :param ordered: at least one.
+    :param data_centre: of the balancer that places it.
+    """
 
     def cost(item: Candidate) -> float:
         return pressure(item, data_centre=data_centre)
 
     for start in range(0, len(ordered), CANDIDATES):
         best = min(ordered[start : start + CANDIDATES], key=cost)
-        if occupancy(best) + FAILING_COST * best.failing < LOADED:
+        if not is_loaded(best):
             return best
     return min(ordered[:CANDIDATES], key=cost)
--- a/packages/teaseldock/teaseldock/packets/relaying.py
+++ b/packages/teaseldock/teaseldock/packets/relaying.py
@@ -15,7 +15,6 @@
 from teaseldock.packets import searching
 
 if typing.TYPE_CHECKING:
-    from teaseldock.packets import node
     from teaseldock.packets import reporting
 
 #: Seconds until a host that has not answered is asked again, doubled each
@@ -42,6 +41,7 @@
         self.began = now
         self.denied: set[str] = set()
         self.told: set[str] = set()
+        self.layout_revision = 0
         self.asked_at = now
         self.asked_times = 1
 
@@ -54,9 +54,16 @@
 class Relay:
     """The errands of one agent."""
 
-    def __init__(self, outlet: node.Outlet, meters: reporting.Meters) -> None:
-        """Start without an errand."""
-        self._outlet = outlet
+    def __init__(
+        self,
+        send: typing.Callable[[str, bytes], None],
+        meters: reporting.Meters,
+    ) -> None:
+        """Start without an errand.
+
+        :param send: sends a datagram of a search to a process.
+        """
+        self._send = send
         self._meters = meters
         self._errands: collections.OrderedDict[bytes, _Errand] = (
             collections.OrderedDict()
@@ -76,14 +83,15 @@
 
     def _ask(self, host: str, kind: int, body: bytes) -> None:
         self._meters.counters['asked'] += 1
-        self._outlet.to_process(host, control.pack(kind, 0, 0, body))
+        self._send(host, control.pack(kind, 0, 0, body))
 
     def on_located(self, answer: control.Envelope, host: str) -> None:
         """Take another agent's answer."""
-        flow = answer.body
+        flow, layout_revision = control.read_located(answer.body)
         errand = self._errands.get(flow)
         if errand is None:
             return
+        errand.layout_revision = max(errand.layout_revision, layout_revision)
         if answer.detail == searching.Holding.UNSURE:
             self._ask(host, control.KIND_PROBE, errand.raw)
             return
@@ -119,11 +127,8 @@
         *,
         tag: int = 0,
     ) -> None:
-        body = flow + control.pack_hosts(hosts)
-        self._outlet.to_process(
-            errand.asker,
-            control.pack(control.KIND_RELAYED, holding, tag, body),
-        )
+        outcome = control.Outcome(flow, errand.layout_revision, hosts)
+        self._send(errand.asker, control.pack_outcome(holding, tag, outcome))
 
     def tick(self, now: float) -> None:
         """Ask those again that are silent, and drop old errands."""
--- a/packages/teaseldock/teaseldock/packets/searching.py
+++ b/packages/teaseldock/teaseldock/packets/searching.py
@@ -33,12 +33,6 @@
 #: Hosts that one relay is given: with a whole packet and all headers, 40 fit
 #: into 1,431 bytes.
 HOSTS_PER_RELAY = 40
-#: Bytes a second, and at once, that a balancer spends on searches, with 28
-#: bytes of headers each: a third of a link of 5 Mbit/s. A search takes some
-#: 700 bytes, so that is some 280 searches a second.
-BYTES_PER_S = 200_000.0
-BYTES_AT_ONCE = 100_000.0
-HEADER_BYTES = 28
 #: Seconds after which a search without packets is given up; a caller repeats
 #: its data within 1.6 s.
 FORGET_S = 5.0
@@ -69,6 +63,7 @@
         self._relayed_at: float | None = None
         self._relayed_times = 0
         self._packets: list[typing.Any] = []
+        self._layout_revision = 0
 
     @property
     def denied(self) -> set[str]:
@@ -80,6 +75,15 @@
         """Return when the search began, seconds."""
         return self._began
 
+    @property
+    def layout_revision(self) -> int:
+        """Return the newest that anybody told who denied the flow.
+
+        The denials prove that nobody holds the flow only if they come from
+        all targets that those who were asked know of.
+        """
+        return self._layout_revision
+
     @property
     def relayed_times(self) -> int:
         """Return how often relays were asked."""
@@ -112,8 +116,13 @@
         packets, self._packets = self._packets, []
         return packets
 
-    def deny(self, host: str) -> None:
-        """Note that a host doesn't hold the flow."""
+    def deny(self, host: str, layout_revision: int = 0) -> None:
+        """Note that a host doesn't hold the flow.
+
+        :param layout_revision: the newest that it, or who asked it, told; 0
+            if nobody did.
+        """
+        self._layout_revision = max(self._layout_revision, layout_revision)
         self._answered.add(host)
         self._denied.add(host)
 
--- a/tests/packets/test_relaying.py
+++ b/tests/packets/test_relaying.py
@@ -16,6 +16,7 @@
 FLOW = bytes(range(12))
 HOSTS = ['10.0.1.1', '10.0.1.2', '10.0.1.3']
 ASKER = '10.0.0.1'
+LAYOUT = 17
 TAG = control.service_tag('dispatch')
 
 
@@ -26,7 +27,7 @@
         """Start empty."""
         self.sent: list[tuple[str, control.Envelope]] = []
 
-    def to_process(self, host: str, datagram: bytes) -> None:
+    def send(self, host: str, datagram: bytes) -> None:
         """Keep a datagram."""
         self.sent.append((host, control.unpack(datagram)))
 
@@ -40,7 +41,7 @@
 def begun() -> tuple[relaying.Relay, Outlet]:
     """Return a relay that has just begun an errand at time 0."""
     outlet = Outlet()
-    relay = relaying.Relay(outlet, reporting.Meters())
+    relay = relaying.Relay(outlet.send, reporting.Meters())
     raw = packet_codec.made(FLOW, length=1).raw
     sent = control.unpack(control.pack_errand(control.Errand(HOSTS, raw)))
     relay.begin(control.read_errand(sent), FLOW, ASKER, 0.0)
@@ -49,7 +50,8 @@
 
 def answer(holding: searching.Holding) -> control.Envelope:
     """Return an agent's answer."""
-    return control.Envelope(control.KIND_LOCATED, holding, TAG, FLOW)
+    located = control.Located(FLOW, LAYOUT)
+    return control.unpack(control.pack_located(holding, TAG, located))
 
 
 def outcomes(outlet: Outlet) -> list[tuple[int, list[str]]]:
@@ -129,13 +131,14 @@
 def test_errands_are_bounded() -> None:
     """The oldest errand goes when there are too many."""
     outlet = Outlet()
-    relay = relaying.Relay(outlet, reporting.Meters())
+    relay = relaying.Relay(outlet.send, reporting.Meters())
     for number in range(relaying.ERRANDS_KEPT + 1):
         errand = control.Errand(HOSTS[:1], b'raw')
         relay.begin(errand, number.to_bytes(12), ASKER, 0.0)
     outlet.sent.clear()
-    oldest = answer(searching.Holding.HELD)._replace(body=bytes(12))
-    relay.on_located(oldest, HOSTS[0])
+    located = control.Located(bytes(12), LAYOUT)
+    packed = control.pack_located(searching.Holding.HELD, TAG, located)
+    relay.on_located(control.unpack(packed), HOSTS[0])
     assert not outlet.sent
 
 
@@ -167,7 +170,8 @@
     assert max(feed.latency_s for feed in feeds) < 0.3
     meters = [process.node.meters for process in world.balancers()]
     searches = sum(item.counters['searches'] for item in meters)
-    spent = sum(item.counters['search_bytes'] for item in meters)
+    budgets = [process.node.budget for process in world.balancers()]
+    spent = sum(item.spent['search'] for item in budgets)
     assert searches > 900
     assert spent / searches < 800
 
--- a/tests/packets/test_searching.py
+++ b/tests/packets/test_searching.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bench import packet_world
+from teaseldock.packets import control_budget
 from teaseldock.packets import packet
 from teaseldock.packets import searching
 
@@ -111,8 +112,9 @@
         feed.ask()
     world.run(3.0)
     for process in world.balancers():
-        spent = process.node.meters.counters['search_bytes']
-        limit = searching.BYTES_AT_ONCE + 3.2 * searching.BYTES_PER_S
+        spent = process.node.budget.spent['search']
+        rate = control_budget.SEARCH_BYTES_PER_S
+        limit = control_budget.SEARCH_BURST_BYTES + 3.2 * rate
         assert spent <= limit + 2000
     alive = [
         feed
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,7 +42,13 @@
 
 
 @pytest.mark.parametrize(
-    'change', [{'ready': ''}, {'seeds': 'x'}, {'internal_port': None}]
+    'change',
+    [
+        {'ready': ''},
+        {'seeds': 'x'},
+        {'internal_port': None},
+        {'link_mbps': 0},
+    ],
 )
 def test_a_wrong_field_is_named(tmp_path: pathlib.Path, change: dict) -> None:
     """The message names the field and the remedy."""
