Let balancers on wide links read the store for the others

A configuration of 1,600 routes comes from the store as some 300 KB (reckoned from one route's text), 1.2 s of a link of 2 Mbit/s. Ruled out: reading in smaller pages (the configuration is one entry). Change: heartbeats tell whether a link is slim; wide ones come first.

--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -79,8 +79,9 @@
             'now': world.now,
         }
         if server is None:
-            if world.link_mbps is not None:
-                options['link_mbps'] = world.link_mbps
+            speed = world.links.get(host, world.link_mbps)
+            if speed is not None:
+                options['link_mbps'] = speed
             self.node: node.Node = balancer.Balancer(**options)
         else:
             self.node = agent.Agent(
@@ -167,6 +168,8 @@
         """
         self.now = 100.0
         self.link_mbps = link_mbps
+        #: Speeds of single balancers' links; for those that start later.
+        self.links: dict[str, float] = {}
         self._link_free_at: collections.defaultdict[str, float] = (
             collections.defaultdict(float)
         )
@@ -266,13 +269,14 @@
 
     def _at_link(self, source: str, size: int) -> float | None:
         """Return how long a datagram takes at its link, None if it is lost."""
-        if self.link_mbps is None or source in self.servers:
+        speed = self.links.get(source, self.link_mbps)
+        if speed is None or source in self.servers:
             return 0.0
         free_at = max(self.now, self._link_free_at[source])
         if free_at - self.now > LINK_QUEUE_S:
             self.link_losses += 1
             return None
-        free_at += BITS * size / (self.link_mbps * 1e6)
+        free_at += BITS * size / (speed * 1e6)
         self._link_free_at[source] = free_at
         return free_at - self.now
 
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -80,6 +80,7 @@
     :ivar holdings: what is to be known of the flows that it holds.
     :ivar outage_ms: age of the last failed call to the store that it knows
         of, its own or a peer's; -1 if it knows of none.
+    :ivar slim: whether its link is too slow to read the store for others.
     """
 
     is_balancer: bool
@@ -94,6 +95,7 @@
     layout_revision: int = 0
     holdings: holdings.Holdings = holdings.NOTHING_KNOWN
     outage_ms: int = -1
+    slim: bool = False
 
     @property
     def balancers(self) -> list[str]:
--- a/packages/teaseldock/teaseldock/packets/control_budget.py
+++ b/packages/teaseldock/teaseldock/packets/control_budget.py
@@ -35,6 +35,10 @@
 SEARCH_BURST_BYTES = 100_000.0
 #: Bytes of the headers of a datagram, which take room on the link too.
 HEADER_BYTES = 28
+#: Megabits a second below which a process should not read the store for
+#: others: a configuration of 1,600 routes comes as some 300 KB, 50 ms at 50
+#: Mbit/s and 1.2 s at 2, in which callers' packets wait behind it.
+WIDE_MBPS = 50.0
 #: Megabits a second assumed of a link that the settings don't tell.
 UNKNOWN_LINK_MBPS = 1000.0
 _BYTES_PER_MEGABIT = 125_000.0
@@ -70,6 +74,7 @@
 
         :param link_mbps: speed of this instance's link, megabits a second.
         """
+        self._slim = link_mbps < WIDE_MBPS
         link_share = LINK_SHARE * link_mbps * _BYTES_PER_MEGABIT
         self._burst = min(BURST_BYTES, LINK_BURST_S * link_share)
         self._general = _Bucket(min(BYTES_PER_S, link_share), self._burst)
@@ -80,6 +85,11 @@
         self._spent: collections.Counter[str] = collections.Counter()
         self._dry = False
 
+    @property
+    def slim(self) -> bool:
+        """Tell whether the link is too slow to read the store for others."""
+        return self._slim
+
     @property
     def spent(self) -> collections.Counter[str]:
         """Return bytes sent by purpose, headers included."""
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -197,12 +197,15 @@
         seeds: list[str],
         randomness: random.Random,
         now: float,
+        slim: bool = False,
     ) -> None:
         """Start with the seeds as balancers that were not heard.
 
         :param host: own IPv4 address.
         :param seeds: hosts of balancers; may be out of date.
+        :param slim: whether the own link is too slow to read for others.
         """
+        self._slim = slim
         self._random = randomness
         self._own_rank = reader_rank(host)
         self._host = host
@@ -542,7 +545,8 @@
     def reads(self, now: float, *, leaving: bool) -> bool:
         """Tell whether this process should read the store now.
 
-        The living balancers first in rank do. Whoever hears that nobody had
+        The living balancers first in rank do, those on wide links before
+        the others. Whoever hears that nobody had
         an answer for long reads too, in order of rank: waiting for a dead or
         cut-off reader would keep old rules in force, which shows as new flows
         at a drained target; everybody reading at once would use up the
@@ -565,10 +569,15 @@
     def _rank(self, living: list[Peer], *, leaving: bool) -> int:
         key = (self._living_at, leaving)
         if key != self._rank_key:
-            own = (not self._is_balancer, leaving, self._own_rank)
+            own = (
+                not self._is_balancer,
+                leaving,
+                self._slim,
+                self._own_rank,
+            )
             self._rank_key = key
             self._rank_kept = sum(
-                (False, peer.leaving, peer.rank) < own
+                (False, peer.leaving, peer.heartbeat.slim, peer.rank) < own
                 for peer in living
                 if peer.heartbeat and not peer.heartbeat.store_failing
             )
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -109,14 +109,15 @@
         self._random = randomness
         self._meters = reporting.Meters()
         self._knowledge = knowledge.Knowledge()
+        self._budget = control_budget.ControlBudget(link_mbps)
         self._mesh = mesh.Mesh(
             host,
             is_balancer=is_balancer,
             seeds=seeds,
             randomness=randomness,
             now=now,
+            slim=self._budget.slim,
         )
-        self._budget = control_budget.ControlBudget(link_mbps)
         self._pulling = pulling.Pulling(randomness)
         self._reading = reading.Reading(randomness)
         self._leaving = False
@@ -386,6 +387,7 @@
             self._knowledge.layout_revision,
             self._holdings(now),
             self._mesh.outage_ms(now),
+            self._budget.slim,
         )
 
     def _tell(
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -56,6 +56,34 @@
     assert all(in_force(world, 7))
 
 
+def test_wide_links_read_for_slim_ones() -> None:
+    """The store's answers fill the link of a balancer that reads for all.
+
+    Symptom: callers of one balancer wait for a second whenever the operator
+    publishes many routes.
+    Events: two of six balancers have wide links; a version is published.
+    Cause: who reads was chosen by rank alone.
+    """
+    world = wide_world(link_mbps=2.0)
+    hosts = sorted(process.host for process in world.balancers())
+    wide = {hosts[1], hosts[4]}
+    world.links = dict.fromkeys(wide, 200.0)
+    for host in wide:
+        world.start(host)
+    world.run(2.0)
+    readers = {
+        process.host
+        for process in world.balancers()
+        if process.node.mesh.reads(world.now, leaving=False)
+    }
+    assert readers == wide
+    for host in wide:
+        world.kill(host)
+    world.store.configure(7, [packet_world.route('dispatch')])
+    world.run(2.9)
+    assert all(in_force(world, 7))
+
+
 def test_readers_that_are_turned_away_are_replaced() -> None:
     """The store refuses all balancers but one; all hear of a change."""
     world = wide_world()
