Tell with changes up to where the sender knows of any

Cause, found in reading: a process that starts after an entry has gone reads a store in which it isn't, and so never notes the revision of its removal. Peers that saw the removal tell a newer revision, the newcomer asks for it, learns nothing from the answer, and asks again five times a second until something else changes. (The sending that was there before had the same fault each 0.6 s.) Ruled out: noting the store's revision in place of the newest change (it rises with heartbeats of servers; all would ask each other all the time). Change: changes carry the newest revision that the sender knows of. Figures: test_a_newcomer_lacks_nothing_after_one_answer failed before; the state machine of spreading holds that one answer is enough.

--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -194,6 +194,10 @@
             fresh = self._drop_unlisted(changes, now) or fresh
             self._removals_since = changes.upto
         self._revision = max(self._revision, changes.upto)
+        if changes.newest <= self._revision:
+            # Otherwise who never knew an entry that is gone would ask for its
+            # removal again and again.
+            self._note_revision(changes.newest)
         if fresh:
             self._rebuild(now)
         return fresh
@@ -303,4 +307,5 @@
             [r for r in self._removals if r.revision > revision],
             configuration,
             change,
+            self.content_revision,
         )
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -154,6 +154,8 @@
     :ivar removals: entries removed.
     :ivar configuration: the newest, if it changed.
     :ivar configuration_change: in place of it, what changed in it.
+    :ivar newest: revision of the newest change that the sender knows of; 0
+        from the store. It may be of an entry that is gone by now.
     """
 
     since: int
@@ -162,3 +164,4 @@
     removals: list[Removal]
     configuration: Configuration | None
     configuration_change: ConfigurationChange | None = None
+    newest: int = 0
--- a/tests/packets/test_knowledge.py
+++ b/tests/packets/test_knowledge.py
@@ -111,6 +111,26 @@
     assert set(old.targets) == {'b'}
 
 
+def test_a_newcomer_lacks_nothing_after_one_answer() -> None:
+    """Processes ask for the same changes five times a second, for ever.
+
+    Symptom: control traffic of 1 KB/s a process when nothing happens, after
+    some processes have started again.
+    Events: a target goes at revision 20; a process starts, and reads the store
+    at revision 25, where that target is not. Its newest entry is of 18.
+    Cause: it took itself to lack the removal, which taught it nothing.
+    """
+    old, young = knowledge.Knowledge(), knowledge.Knowledge()
+    first = [target('a', 5), target('b', 18)]
+    old.apply(records.Changes(0, 18, first, [], None), 0.0)
+    gone = records.Removal('a', 20)
+    old.apply(records.Changes(18, 20, [], [gone], None), 1.0)
+    young.apply(records.Changes(0, 25, [target('b', 18)], [], None), 2.0)
+    assert young.content_revision < old.content_revision
+    young.apply(old.changes_since(young.content_revision), 2.1)
+    assert young.content_revision >= old.content_revision
+
+
 class Spreading(stateful.RuleBasedStateMachine):
     """One store, three processes, messages in any order."""
 
@@ -182,7 +202,9 @@
             body = control.unpack(datagram).body
             received = assembler.add(body)
         assert received == changes
+        told = self.processes[source].content_revision
         self._apply(number, changes)
+        assert self.processes[number].content_revision >= told
 
     @stateful.rule(number=numbers, pick=strategies.integers(0, 50))
     def deliver_late(self, number: int, pick: int) -> None:
