Split what a process knows of others, of the store and of changes into modules

Ruled out: moving constants only (the jobs would still be one). Change: peer (one process), mesh (all of them), store_state (answers and failures), readers (who reads), exchanging (asking for changes, giving them on), outlet (what decisions need carried out). One more thing, found in reading: a flow whose opening waits for answers is not placed anew once it has opened.

--- a/bench/packet_costs.py
+++ b/bench/packet_costs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import time
 import tracemalloc
 import typing
@@ -18,6 +19,7 @@
 from teaseldock.packets import mesh
 from teaseldock.packets import placing
 from teaseldock.packets import records
+from teaseldock.packets import store_state
 from teaseldock.packets import tracking
 
 ROUNDS = 2000
@@ -114,7 +116,13 @@
     :param targets: in all; one in fifty is of the flow's service.
     """
     known = knowledge.Knowledge()
-    processes = mesh.Mesh('10.9.0.1', is_balancer=True, seeds=[], now=0.0)
+    processes = mesh.Mesh(
+        '10.9.0.1',
+        is_balancer=True,
+        seeds=[],
+        randomness=random.Random(1),
+        now=0.0,
+    )
     entries = [
         target(n)._replace(service=f'service-{n % 50}') for n in range(targets)
     ]
@@ -131,7 +139,9 @@
             False, 1, False, targets, 10, False, None, b'', holdings=held
         )
         processes.hear(item.host, heartbeat, 0.0)
-    usable = candidates.Candidates(known, processes, data_centre='dc-0')
+    usable = candidates.Candidates(
+        known, processes, store_state.StoreState(), data_centre='dc-0'
+    )
     hint = hints.Hint('service-0', hints.Place.SEARCHED)
     hosts = usable.holders(flow(1), hint, 0.1)
     assert len(hosts) == -(-targets // 50)
--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -23,6 +23,7 @@
 from teaseldock.packets import balancer
 from teaseldock.packets import control
 from teaseldock.packets import node
+from teaseldock.packets import outlet
 from teaseldock.packets import packet
 from teaseldock.packets import records
 from teaseldock.packets import reporting
@@ -56,7 +57,7 @@
         self._world.lines.append((self._world.now, self._name, event, fields))
 
 
-class Process(node.Outlet):
+class Process(outlet.Outlet):
     """One balancer or agent in the world."""
 
     def __init__(
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -177,7 +177,7 @@
         An agent that started a moment after its server, and heard of the
         former run first, would deny flows that live.
         """
-        seen = self._mesh.confirmed_after(self._began + RUN_CONFIRMED_S)
+        seen = self._store.confirmed_after(self._began + RUN_CONFIRMED_S)
         self._server_seen_start = self._server_seen_start or seen
         self._reporter.note(
             'server restarted',
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -19,6 +19,7 @@
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import packet
+    from teaseldock.packets import peer as peers
     from teaseldock.packets import records
 
 #: Openings kept while nothing is known of the store yet, and the seconds that
@@ -46,14 +47,17 @@
         super().__init__(is_balancer=True, **options)
         self._hints = hints.Hints()
         self._targets = candidates.Candidates(
-            self._knowledge, self._mesh, data_centre=self._data_centre
+            self._knowledge,
+            self._mesh,
+            self._store,
+            data_centre=self._data_centre,
         )
         self._locator = locating.Locator(
             self._targets,
             forward=self._forward,
             inputs=lambda: self._flow_inputs,
             control_bytes=self._budget,
-            catch_up=self._pull,
+            catch_up=self._exchange.pull,
             outlet=self._outlet,
             reporter=self._reporter,
             meters=self._meters,
@@ -84,7 +88,7 @@
             return True
         return now - self._agent_heard_at <= mesh.SILENT_S
 
-    def _on_heartbeat(self, peer: mesh.Peer, now: float) -> None:
+    def _on_heartbeat(self, peer: peers.Peer, now: float) -> None:
         if peer.is_balancer:
             return
         self._agent_heard_at = now
@@ -175,6 +179,9 @@
         if hint is None:
             service = self._service_of(route, item.flow)
             hint = self._hints.add(item.flow, service, hints.Place.SEARCHED)
+        if hint.place is hints.Place.OPENING:
+            # It has opened; a copy that still waits must not move it.
+            self._inquiries.drop(item.flow)
         if hint.place is hints.Place.SEARCHED:
             self._locator.search(item, hint, now)
         elif hint.place is hints.Place.LOST:
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -10,6 +10,7 @@
 from teaseldock.packets import holdings
 from teaseldock.packets import inquiry
 from teaseldock.packets import mesh
+from teaseldock.packets import peer as peers
 from teaseldock.packets import placing
 from teaseldock.packets import ranking
 from teaseldock.packets import records
@@ -17,6 +18,7 @@
 if typing.TYPE_CHECKING:
     from teaseldock.packets import hints
     from teaseldock.packets import knowledge
+    from teaseldock.packets import store_state
 
 #: Placements remembered for each target; more than the reports of 0.4 s miss.
 PLACEMENTS_KEPT = 64
@@ -40,6 +42,7 @@
         self,
         known: knowledge.Knowledge,
         processes: mesh.Mesh,
+        state: store_state.StoreState,
         *,
         data_centre: str,
     ) -> None:
@@ -49,6 +52,7 @@
         """
         self._knowledge = known
         self._mesh = processes
+        self._store = state
         self._data_centre = data_centre
         self._placed: dict[Run, collections.deque[float]] = {}
         self._first_seen: dict[Run, float] = {}
@@ -93,7 +97,7 @@
         if peer.leaving(now) or peer.missing(now):
             return True
         suspected_at = self._suspected.get(target.host)
-        if suspected_at is None or now - suspected_at > mesh.BELIEVED_S:
+        if suspected_at is None or now - suspected_at > peers.BELIEVED_S:
             return False
         return suspected_at > (peer.heard_at or 0.0)
 
@@ -148,7 +152,7 @@
         ]
 
     def _lapsed(self, service: str, now: float) -> list[records.Target]:
-        if not self._mesh.recent_outage(now):
+        if not self._store.recent_outage(now):
             return []
         return self._knowledge.lapsed_of(service, now)
 
@@ -243,7 +247,7 @@
         hosts = [item.host for item in self._knowledge.targets.values()]
         # A target without an entry and without an agent is gone for good,
         # unless its entry may have expired for want of the store.
-        outage = self._mesh.recent_outage(now)
+        outage = self._store.recent_outage(now)
         hosts += [
             item.target.host
             for item in self._knowledge.vanished(now)
@@ -266,7 +270,7 @@
 
         :param told: the newest layout revision of those who were asked.
         """
-        if self._mesh.young(now) and self._mesh.recent_outage(now):
+        if self._mesh.young(now) and self._store.recent_outage(now):
             return True
         newest = max(told, self._mesh.newest_layout(now))
         return newest > self._knowledge.revision
@@ -294,4 +298,4 @@
     """Tell whether a target may take new flows, as far as is known."""
     if candidate.reported is None or candidate.reported.accepting:
         return True
-    return candidate.age_s > mesh.BELIEVED_S
+    return candidate.age_s > peers.BELIEVED_S
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -0,0 +1,112 @@
+"""Get changes from other processes, and give them on."""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock.packets import control
+from teaseldock.packets import control_budget
+from teaseldock.packets import pulling
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from teaseldock.packets import knowledge
+    from teaseldock.packets import mesh
+    from teaseldock.packets import records
+    from teaseldock.packets import reporting
+
+Send = typing.Callable[[str, bytes, control_budget.Purpose], None]
+Take = typing.Callable[['records.Changes', str, float], typing.Any]
+
+
+class Exchange:
+    """The changes that one process asks for and is asked for."""
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        processes: mesh.Mesh,
+        control_bytes: control_budget.ControlBudget,
+        *,
+        send: Send,
+        take: Take,
+        meters: reporting.Meters,
+        randomness: random.Random,
+    ) -> None:
+        """Start without a question.
+
+        :param send: sends a datagram to a process, for a purpose.
+        :param take: takes over changes, with the process that they are from.
+        """
+        self._knowledge = known
+        self._mesh = processes
+        self._budget = control_bytes
+        self._send = send
+        self._take = take
+        self._meters = meters
+        self._pulling = pulling.Pulling(randomness)
+
+    def pull(self, now: float) -> None:
+        """Ask for what others know and this process lacks, if it is time."""
+        if not self._pulling.due(now):
+            return
+        own = self._knowledge.content_revision
+        source = self._pulling.choose(self._mesh.ahead(own, now))
+        if source is not None:
+            self._want(source.host, now)
+
+    def _want(self, host: str, now: float) -> None:
+        self._pulling.asked(host, now)
+        self._meters.counters['changes_wanted'] += 1
+        self._send(
+            host,
+            control.pack_want(self._knowledge.content_revision),
+            control_budget.Purpose.QUESTION,
+        )
+
+    def on_want(self, body: bytes, host: str, now: float) -> None:
+        """Send what a process lacks, unless too much was sent lately.
+
+        It then asks somebody else, who has it by now: so a change of 8 KB
+        doesn't leave one process a hundred times over a slim link.
+        """
+        since = control.read_revision(body)
+        if since >= self._knowledge.content_revision:
+            return
+        purpose = control_budget.Purpose.CHANGES
+        if not self._budget.allows(purpose, now):
+            self._refer(host)
+            return
+        self._meters.counters['changes_sent'] += 1
+        self._pulling.sent(host, self._knowledge.content_revision)
+        changes = self._knowledge.changes_since(since)
+        for datagram in control.pack_changes(changes):
+            self._send(host, datagram, purpose)
+
+    def _refer(self, asker: str) -> None:
+        self._meters.counters['changes_put_off'] += 1
+        revision = self._knowledge.content_revision
+        other = self._pulling.referral(revision, asker)
+        if other is not None:
+            self._send(
+                asker,
+                control.pack_referral(other),
+                control_budget.Purpose.QUESTION,
+            )
+
+    def on_referral(self, body: bytes, host: str, now: float) -> None:
+        """Ask another process, as one that was asked has advised."""
+        if self._pulling.expects(host) and not self._pulling.due(now):
+            self._want(control.read_referral(body), now)
+
+    def on_changes(self, body: bytes, host: str, now: float) -> None:
+        """Take a part of the changes that were asked for."""
+        if not self._pulling.expects(host):
+            self._meters.counters['dropped_changes_of_stranger'] += 1
+            return
+        changes = self._pulling.add(body, host)
+        if changes is None:
+            return
+        self._take(changes, host, now)
+        self.pull(now)
--- a/packages/teaseldock/teaseldock/packets/locating.py
+++ b/packages/teaseldock/teaseldock/packets/locating.py
@@ -12,7 +12,7 @@
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import candidates
-    from teaseldock.packets import node
+    from teaseldock.packets import outlet as outlets
     from teaseldock.packets import packet
 
 Forward = typing.Callable[['packet.Packet', hints.Hint], None]
@@ -31,7 +31,7 @@
         inputs: Inputs,
         control_bytes: control_budget.ControlBudget,
         catch_up: CatchUp,
-        outlet: node.Outlet,
+        outlet: outlets.Outlet,
         reporter: reporting.Reporter,
         meters: reporting.Meters,
     ) -> None:
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -1,4 +1,4 @@
-"""Know the other processes: who is alive, who reads the store, who is ahead.
+"""Know the other processes: who is alive, who is ahead, whom to tell.
 
 The load it answers: hundreds of processes, of which each needs to hear that
 others live and whether they know something newer. All balancers telling all
@@ -16,10 +16,14 @@
 
 import heapq
 import random
+import typing
 
 import siphash24
 
-from teaseldock.packets import control
+from teaseldock.packets import peer as peers
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import control
 
 #: Seconds between two rounds of heartbeats, of a balancer to others and of an
 #: agent to those that it reports to, and between two of a balancer to an agent
@@ -53,152 +57,19 @@
 #: Rounds without a heartbeat after which a balancer counts as silent, where
 #: there are more than can be told in one round.
 SILENT_ROUNDS = 2.5
-#: Seconds for which an agent counts as reporting after its last report.
-REPORTING_S = 1.5
 #: Seconds for which it is trusted what an agent told of the flows it holds.
 #: An agent for which that changes tells everybody at once.
 TRUSTED_S = 3.0
-#: Seconds without an answer to a question after which a process counts as
-#: missing: thirty round trips between data centres.
-ANSWER_S = 0.1
-#: Seconds for which it counts as missing; it is asked again then, since
-#: nobody else tells that it is back.
-MISSING_S = 1.0
-#: Seconds for which bad news of a process is believed (that it leaves, takes
-#: no new flows, let an opening be repeated). It is asked again then; good news
-#: reaches only those that it reports to.
-BELIEVED_S = 2.0
-#: Seconds without a word of a balancer that an agent reports to, until it
-#: reports to another one, and until that one is tried again.
-DESERTED_S = 1.3
-TRY_AGAIN_S = 5.0
 #: Age in seconds that what was heard is given after a pause of this process:
 #: in touch, but soon to be confirmed.
 WOKE_MARGIN_S = 0.1
 #: Seconds after which a silent process is forgotten.
 FORGET_S = 30.0
-#: Processes that read the store at a time. Two, so that the death of one
-#: delays nothing; each costs one call a change and one a WATCH_S.
-READERS = 2
-#: Age of the newest confirmation by the store, seconds, beyond which others
-#: begin to read too: a watch is answered each 1.5 s at the latest, so an age
-#: of 2 s means that both readers are gone. With the 0.3 s that a read takes on
-#: a slow store it keeps the 3 s that changes may take.
-TAKEOVER_S = 2.0
-#: Rounds that a confirmation takes to be known everywhere where not all hear
-#: each other in one round; added to the age above.
-RELAY_ROUNDS = 2
-#: Seconds between two of those that take over, in order of rank.
-TAKEOVER_STEP_S = 0.25
-#: Seconds over which agents that take over are spread by rank: they know the
-#: balancers but not each other.
-AGENT_SPREAD_S = 1.5
-#: Seconds that a started balancer waits for a peer's word before it reads: a
-#: round trip to another data centre takes 3 ms, a full read costs two calls.
-START_WAIT_S = 0.04
-#: Seconds over which agents that hear of no answer of the store after their
-#: start are spread by rank; of 136, some 15 begin before the first is done.
-COLD_SPREAD_S = 0.5
-#: Seconds for which an outage of the store is remembered: entries that expire
-#: within them may do so for want of the store, three heartbeats after it went.
-OUTAGE_MEMORY_S = 10.0
 #: Balancers named to a process that has started; bounds the heartbeat.
 NAMED_FIRST = 24
-_RANK_KEY = b'teaseldock-read2'
 _REPORT_KEY = b'teaseldock-tell1'
 
 
-class Peer:
-    """Another process as it last described itself."""
-
-    def __init__(self, host: str, *, is_balancer: bool) -> None:
-        """Start with a process that has not been heard."""
-        self.host = host
-        self.is_balancer = is_balancer
-        self.heartbeat: control.Heartbeat | None = None
-        self.heard_at: float | None = None
-        self.known_at = 0.0
-        self.told_at = 0.0
-        self.named_at = 0.0
-        self.reported_at: float | None = None
-        # Since when it owes an answer to a question, or any word at all.
-        self.asked_at: float | None = None
-        self.unheard_since: float | None = None
-        self.rank = reader_rank(host)
-        self.report_rank = b''
-
-    @property
-    def revision(self) -> int:
-        """Return up to which revision the process knows the store."""
-        return self.heartbeat.revision if self.heartbeat else 0
-
-    def leaving(self, now: float) -> bool:
-        """Tell whether the process is about to stop.
-
-        That is believed for a while only: it tells everybody, but after its
-        restart only those that it reports to. Its instance would get no flows
-        of all others for ever.
-        """
-        if self.heartbeat is None or not self.heartbeat.leaving:
-            return False
-        return self.heard_within(BELIEVED_S, now)
-
-    def heard_within(self, seconds: float, now: float) -> bool:
-        """Tell whether the process was heard in the last seconds."""
-        return self.heard_at is not None and now - self.heard_at <= seconds
-
-    def reports(self, now: float) -> bool:
-        """Tell whether an agent reports here by itself."""
-        if self.is_balancer or self.reported_at is None:
-            return False
-        return now - self.reported_at <= REPORTING_S
-
-    def missing(self, now: float) -> bool:
-        """Tell whether the process owes the answer to a question."""
-        if self.asked_at is None:
-            return False
-        return ANSWER_S < now - self.asked_at < ANSWER_S + MISSING_S
-
-    def asked(self, now: float) -> None:
-        """Note a question; one that waits for its answer stays the first."""
-        if self.asked_at is None or now - self.asked_at > MISSING_S:
-            self.asked_at = now
-
-    def told(self, now: float) -> None:
-        """Note a heartbeat to the process."""
-        self.told_at = now
-        if self.unheard_since is None:
-            self.unheard_since = now
-
-    def deserts(self, now: float) -> bool:
-        """Tell whether the process has no word for whoever reports to it."""
-        if self.unheard_since is None:
-            return False
-        if now - self.unheard_since <= DESERTED_S:
-            return False
-        return now - self.told_at < TRY_AGAIN_S
-
-    def hear(
-        self, heartbeat: control.Heartbeat, now: float, *, asked: bool
-    ) -> None:
-        """Take over what the process says of itself.
-
-        :param asked: whether it answers a question.
-        """
-        if not asked:
-            self.reported_at = now
-        self.heartbeat = heartbeat
-        self.is_balancer = heartbeat.is_balancer
-        self.heard_at = now
-        self.asked_at = None
-        self.unheard_since = None
-
-
-def reader_rank(host: str) -> bytes:
-    """Return the order in which processes read the store."""
-    return siphash24.siphash24(host.encode(), key=_RANK_KEY).digest()
-
-
 class Mesh:
     """All processes that this one talks with."""
 
@@ -210,62 +81,38 @@
         seeds: list[str],
         randomness: random.Random,
         now: float,
-        slim: bool = False,
     ) -> None:
         """Start with the seeds as balancers that were not heard.
 
         :param host: own IPv4 address.
         :param seeds: hosts of balancers; may be out of date.
-        :param slim: whether the own link is too slow to read for others.
         """
-        self._slim = slim
         self._random = randomness
-        self._own_rank = reader_rank(host)
         self._host = host
         self._is_balancer = is_balancer
-        self._peers: dict[str, Peer] = {}
+        self._peers: dict[str, peers.Peer] = {}
         self._seeds: list[str] = []
         self._registered: set[str] = set()
         self._started = now
-        self._confirmed_at: float | None = None
-        self._store_failing = False
-        self._outage_at: float | None = None
         self._round_at = 0.0
         self._newest_revision = 0
         # Kept until a process joins, goes or changes its role: ticks look at
         # them 20 times a second.
-        self._balancers: list[Peer] | None = None
-        self._living: list[Peer] = []
+        self._balancers: list[peers.Peer] | None = None
+        self._living: list[peers.Peer] = []
         self._living_at = 0.0
-        self._rank_key: tuple[float, bool] | None = None
-        self._rank_kept = 0
         self.learn_seeds(seeds, now)
 
     @property
-    def peers(self) -> dict[str, Peer]:
+    def peers(self) -> dict[str, peers.Peer]:
         """Return all known processes by host."""
         return self._peers
 
-    @property
-    def store_failing(self) -> bool:
-        """Tell whether this process's calls to the store fail."""
-        return self._store_failing
-
     def young(self, now: float) -> bool:
         """Tell whether some processes may not have heard of this one yet."""
         return now - self._started < KNOWN_AFTER_S
 
-    def confirmed_after(self, moment: float) -> bool:
-        """Tell whether the store has answered anybody after a moment."""
-        return self._confirmed_at is not None and self._confirmed_at > moment
-
-    def recent_outage(self, now: float) -> bool:
-        """Tell whether calls to the store failed lately, anybody's."""
-        if self._outage_at is None:
-            return False
-        return now - self._outage_at < OUTAGE_MEMORY_S
-
-    def balancers(self) -> list[Peer]:
+    def balancers(self) -> list[peers.Peer]:
         """Return the known balancers."""
         if self._balancers is None:
             self._balancers = [
@@ -277,14 +124,18 @@
         self._balancers = None
         self._living_at = 0.0
 
-    def agents(self) -> list[Peer]:
+    def agents(self) -> list[peers.Peer]:
         """Return the known agents."""
         return [peer for peer in self._peers.values() if not peer.is_balancer]
 
-    def _learn(self, host: str, *, is_balancer: bool, now: float) -> Peer:
+    def _learn(
+        self, host: str, *, is_balancer: bool, now: float
+    ) -> peers.Peer:
         peer = self._peers.get(host)
         if peer is None:
-            peer = self._peers[host] = Peer(host, is_balancer=is_balancer)
+            peer = self._peers[host] = peers.Peer(
+                host, is_balancer=is_balancer
+            )
             peer.known_at = now
             self._forget_lists()
         return peer
@@ -313,7 +164,7 @@
         now: float,
         *,
         asked: bool = False,
-    ) -> Peer:
+    ) -> peers.Peer:
         """Take over the heartbeat of a process on an instance.
 
         :param asked: whether it answers a question.
@@ -323,46 +174,11 @@
             self._forget_lists()
         peer.hear(heartbeat, now, asked=asked)
         self._newest_revision = max(self._newest_revision, heartbeat.revision)
-        if heartbeat.outage_ms >= 0:
-            outage_at = now - heartbeat.outage_ms / 1000
-            self._outage_at = max(self._outage_at or outage_at, outage_at)
         for named in heartbeat.balancers:
             if named != self._host:
                 self._learn(named, is_balancer=True, now=now)
-        if heartbeat.confirmed_ms >= 0:
-            self._confirm(now - heartbeat.confirmed_ms / 1000)
         return peer
 
-    def _confirm(self, at: float) -> None:
-        if self._confirmed_at is None or at > self._confirmed_at:
-            self._confirmed_at = at
-
-    def store_answered(self, now: float) -> bool:
-        """Note an answer of the store; tell whether calls failed before."""
-        self._confirm(now)
-        regained = self._store_failing
-        self._store_failing = False
-        return regained
-
-    def store_failed(self, now: float) -> bool:
-        """Note a failed call; tell whether it is the first in a row."""
-        self._outage_at = now
-        lost = not self._store_failing
-        self._store_failing = True
-        return lost
-
-    def confirmed_ms(self, now: float) -> int:
-        """Return the age of the newest confirmation, -1 if there is none."""
-        if self._confirmed_at is None:
-            return -1
-        return max(0, round((now - self._confirmed_at) * 1000))
-
-    def outage_ms(self, now: float) -> int:
-        """Return the age of the last failed call, -1 if there is none."""
-        if self._outage_at is None:
-            return -1
-        return max(0, round((now - self._outage_at) * 1000))
-
     def _silent_s(self, balancers: int) -> float:
         """Return seconds after which one of some balancers is silent."""
         rounds = -(-balancers // FAN_OUT)
@@ -398,7 +214,7 @@
             return True
         return any(peer.host == host for peer in self.reported_to(now))
 
-    def living_balancers(self, now: float) -> list[Peer]:
+    def living_balancers(self, now: float) -> list[peers.Peer]:
         """Return the balancers that have been heard lately."""
         if 0 <= now - self._living_at < LIVING_KEPT_S:
             return self._living
@@ -410,7 +226,7 @@
         self._living = [p for p in known if p.heard_within(after_s, now)]
         return self._living
 
-    def names_due(self, peer: Peer, now: float) -> int:
+    def names_due(self, peer: peers.Peer, now: float) -> int:
         """Return how many balancers the next heartbeat to a process names."""
         if not peer.named_at:
             count = NAMED_FIRST
@@ -430,7 +246,7 @@
             hosts.append(self._host)
         return hosts
 
-    def due(self, now: float, *, everybody: bool) -> list[Peer]:
+    def due(self, now: float, *, everybody: bool) -> list[peers.Peer]:
         """Return the processes that a heartbeat is due to.
 
         Silent ones are still told in their turn, so that both halves of a
@@ -449,7 +265,7 @@
             return self._next_balancers()
         return self.reported_to(now)
 
-    def _new(self, now: float) -> list[Peer]:
+    def _new(self, now: float) -> list[peers.Peer]:
         """Return balancers that became known since the last round."""
         count = FAN_OUT
         if not self._is_balancer:
@@ -460,11 +276,11 @@
         new = [peer for peer in self.balancers() if not peer.told_at]
         return new[:count]
 
-    def _next_balancers(self) -> list[Peer]:
+    def _next_balancers(self) -> list[peers.Peer]:
         turn = sorted(self.balancers(), key=lambda peer: peer.told_at)
         return turn[:FAN_OUT]
 
-    def _next_agents(self, now: float) -> list[Peer]:
+    def _next_agents(self, now: float) -> list[peers.Peer]:
         """Return the agents that report here, and some that don't."""
         reporting = []
         others = []
@@ -478,7 +294,7 @@
         called = min(CALLS_A_ROUND, len(others))
         return reporting + self._random.sample(others, called)
 
-    def reported_to(self, now: float) -> list[Peer]:
+    def reported_to(self, now: float) -> list[peers.Peer]:
         """Return the balancers that an agent reports to.
 
         Each agent has an order of its own, so that all balancers hear about
@@ -494,14 +310,14 @@
             return answering or self._next_balancers()
         return heapq.nsmallest(REPORTS_TO, answering, key=self._report_rank)
 
-    def _report_rank(self, peer: Peer) -> bytes:
+    def _report_rank(self, peer: peers.Peer) -> bytes:
         if not peer.report_rank:
             text = f'{self._host}>{peer.host}'.encode()
             digest = siphash24.siphash24(text, key=_REPORT_KEY).digest()
             peer.report_rank = digest
         return peer.report_rank
 
-    def to_notify(self, count: int, now: float) -> list[Peer]:
+    def to_notify(self, count: int, now: float) -> list[peers.Peer]:
         """Return whom to tell at once that something is new.
 
         Some balancers that are behind, drawn at random, who tell others in
@@ -524,7 +340,7 @@
         if stale:
             self._forget_lists()
 
-    def ahead(self, revision: int, now: float) -> list[Peer]:
+    def ahead(self, revision: int, now: float) -> list[peers.Peer]:
         """Return heard processes that know more than a revision."""
         if self._newest_revision <= revision:
             return []
@@ -554,61 +370,3 @@
             ),
             default=0,
         )
-
-    def reads(self, now: float, *, leaving: bool) -> bool:
-        """Tell whether this process should read the store now.
-
-        The living balancers first in rank do, those on wide links before
-        the others. Whoever hears that nobody had
-        an answer for long reads too, in order of rank: waiting for a dead or
-        cut-off reader would keep old rules in force, which shows as new flows
-        at a drained target; everybody reading at once would use up the
-        store's rate.
-        """
-        age_s = now - (self._confirmed_at or self._started)
-        if self._starts_cold(now):
-            return True
-        if not self._is_balancer and age_s <= TAKEOVER_S:
-            return False
-        living = self.living_balancers(now)
-        rank = self._rank(living, now, leaving=leaving)
-        if self._is_balancer and rank < READERS:
-            return now - self._started > START_WAIT_S
-        wait_s = TAKEOVER_S + TAKEOVER_STEP_S * rank
-        if len(self.balancers()) > FAN_OUT:
-            wait_s += RELAY_ROUNDS * ROUND_S
-        if not self._is_balancer:
-            wait_s += AGENT_SPREAD_S * self._own_rank[0] / 255
-        return age_s > wait_s
-
-    def _starts_cold(self, now: float) -> bool:
-        """Tell whether an agent should read because nobody has read yet.
-
-        After a loss of all power the balancers on slim links all read at one
-        moment, each for over a second, and nothing is served. Agents have
-        wide links; those first in rank are done within some ten milliseconds.
-        """
-        if self._is_balancer or self._slim or self._store_failing:
-            return False
-        if self._confirmed_at is not None:
-            return False
-        wait_s = START_WAIT_S + COLD_SPREAD_S * self._own_rank[0] / 255
-        return now - self._started > wait_s
-
-    def _rank(self, living: list[Peer], now: float, *, leaving: bool) -> int:
-        key = (self._living_at, leaving)
-        if key != self._rank_key:
-            own = (
-                not self._is_balancer,
-                leaving,
-                self._slim,
-                self._own_rank,
-            )
-            self._rank_key = key
-            self._rank_kept = sum(
-                (False, peer.leaving(now), peer.heartbeat.slim, peer.rank)
-                < own
-                for peer in living
-                if peer.heartbeat and not peer.heartbeat.store_failing
-            )
-        return self._rank_kept
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -9,15 +9,18 @@
 from teaseldock import exceptions
 from teaseldock.packets import control
 from teaseldock.packets import control_budget
+from teaseldock.packets import exchanging
 from teaseldock.packets import holdings
 from teaseldock.packets import knowledge
 from teaseldock.packets import mesh
-from teaseldock.packets import pulling
+from teaseldock.packets import readers
 from teaseldock.packets import reading
 from teaseldock.packets import reporting
+from teaseldock.packets import store_state
 
 if typing.TYPE_CHECKING:
-    from teaseldock.packets import packet
+    from teaseldock.packets import outlet as outlets
+    from teaseldock.packets import peer as peers
     from teaseldock.packets import records
 
 #: Balancers that are told at once of something new, and twice as many by who
@@ -33,51 +36,6 @@
 SOURCE_STORE = 'store'
 
 
-class Outlet(abc.ABC):
-    """Carries out what the decisions want to be sent."""
-
-    @abc.abstractmethod
-    def to_process(self, host: str, datagram: bytes) -> None:
-        """Send to the internal port of a process of the system."""
-
-    @abc.abstractmethod
-    def to_caller(self, item: packet.Packet) -> None:
-        """Send a packet to the caller of its flow."""
-
-    @abc.abstractmethod
-    def to_server(self, item: packet.Packet, token: bytes) -> None:
-        """Give a packet to the backend server beside this process.
-
-        :param token: four bytes that come back with a returned packet.
-        """
-
-    @abc.abstractmethod
-    def reset_caller(self, item: packet.Packet) -> None:
-        """Reset a flow towards its caller.
-
-        :param item: the caller's packet that is answered so.
-        """
-
-    @abc.abstractmethod
-    def read_packet(self, raw: bytes) -> packet.Packet:
-        """Decode a packet that another process passed on.
-
-        :raises MessageError: if the bytes are no packet.
-        """
-
-    @abc.abstractmethod
-    def original(self, item: packet.Packet) -> bytes:
-        """Return a returned packet as its caller sent it."""
-
-    @abc.abstractmethod
-    def read_all(self) -> None:
-        """Read all entries of the store; ends in a call of the node."""
-
-    @abc.abstractmethod
-    def watch(self, revision: int) -> None:
-        """Wait for changes of the store after a revision."""
-
-
 class Node(abc.ABC):
     """Spread knowledge, and see who is alive."""
 
@@ -88,7 +46,7 @@
         data_centre: str,
         seeds: list[str],
         is_balancer: bool,
-        outlet: Outlet,
+        outlet: outlets.Outlet,
         reporter: reporting.Reporter,
         randomness: random.Random,
         now: float,
@@ -116,9 +74,25 @@
             seeds=seeds,
             randomness=randomness,
             now=now,
+        )
+        self._store = store_state.StoreState()
+        self._readers = readers.Readers(
+            self._mesh,
+            self._store,
+            host=host,
+            is_balancer=is_balancer,
             slim=self._budget.slim,
+            now=now,
+        )
+        self._exchange = exchanging.Exchange(
+            self._knowledge,
+            self._mesh,
+            self._budget,
+            send=self._send,
+            take=self._take,
+            meters=self._meters,
+            randomness=randomness,
         )
-        self._pulling = pulling.Pulling(randomness)
         self._reading = reading.Reading(randomness)
         self._leaving = False
         self._started = int(now * 1000)
@@ -168,7 +142,7 @@
     def _on_knowledge(self, now: float) -> None:
         """Take over changed knowledge."""
 
-    def _on_heartbeat(self, peer: mesh.Peer, now: float) -> None:
+    def _on_heartbeat(self, peer: peers.Peer, now: float) -> None:
         """Take over a heartbeat."""
 
     def _server_load(self, now: float) -> typing.Any:
@@ -211,7 +185,7 @@
         self._last_tick = now
         everybody = self._concerns_everybody(now)
         self._tell(self._mesh.due(now, everybody=everybody), now)
-        self._pull(now)
+        self._exchange.pull(now)
         self.read_if_due(now)
         if self._budget.ran_dry(now):
             self._reporter.note('control budget dry', **self._budget.spent)
@@ -227,11 +201,15 @@
         self._mesh.woke(now)
         self._tell(self._mesh.due(now, everybody=False), now)
 
+    def reads(self, now: float) -> bool:
+        """Tell whether this process should read the store for others."""
+        return self._readers.reads(now, leaving=self._leaving)
+
     def read_if_due(self, now: float) -> None:
         """Call the store if this process should and no call is under way."""
         if self._reading.calling:
             return
-        if not self._mesh.reads(now, leaving=self._leaving):
+        if not self.reads(now):
             return
         step = self._reading.next_step(self._knowledge.revision, now)
         if step is None:
@@ -244,7 +222,7 @@
 
     def store_answered(self, changes: records.Changes, now: float) -> None:
         """Take the answer of a call to the store."""
-        if self._mesh.store_answered(now):
+        if self._store.answered(now):
             self._reporter.note('store regained', **self._flow_inputs)
         changed = self._take(changes, SOURCE_STORE, now)
         self._reading.succeeded(now, changed=changed)
@@ -259,7 +237,7 @@
     def store_failed(self, problem: str, now: float) -> None:
         """Note a call to the store without a usable answer."""
         self._meters.counters['store_failures'] += 1
-        if self._mesh.store_failed(now):
+        if self._store.failed(now):
             self._reporter.note(
                 'store lost', problem=problem, **self._flow_inputs
             )
@@ -317,60 +295,6 @@
             self.entry_refused(f'{identifier}: no such service is configured')
         self._unnamed = unnamed
 
-    def _pull(self, now: float) -> None:
-        """Ask for what others know and this process lacks, if it is time."""
-        if not self._pulling.due(now):
-            return
-        own = self._knowledge.content_revision
-        source = self._pulling.choose(self._mesh.ahead(own, now))
-        if source is not None:
-            self._want(source.host, now)
-
-    def _want(self, host: str, now: float) -> None:
-        self._pulling.asked(host, now)
-        self._meters.counters['changes_wanted'] += 1
-        self._send(
-            host,
-            control.pack_want(self._knowledge.content_revision),
-            control_budget.Purpose.QUESTION,
-        )
-
-    def _on_want(self, body: bytes, host: str, now: float) -> None:
-        """Send what a process lacks, unless too much was sent lately.
-
-        It then asks somebody else, who has it by now: so a change of 8 KB
-        doesn't leave one process a hundred times over a slim link.
-        """
-        since = control.read_revision(body)
-        if since >= self._knowledge.content_revision:
-            return
-        purpose = control_budget.Purpose.CHANGES
-        if not self._budget.allows(purpose, now):
-            self._refer(host)
-            return
-        self._meters.counters['changes_sent'] += 1
-        self._pulling.sent(host, self._knowledge.content_revision)
-        for datagram in control.pack_changes(
-            self._knowledge.changes_since(since)
-        ):
-            self._send(host, datagram, purpose)
-
-    def _refer(self, asker: str) -> None:
-        self._meters.counters['changes_put_off'] += 1
-        revision = self._knowledge.content_revision
-        other = self._pulling.referral(revision, asker)
-        if other is not None:
-            self._send(
-                asker,
-                control.pack_referral(other),
-                control_budget.Purpose.QUESTION,
-            )
-
-    def _on_referral(self, body: bytes, host: str, now: float) -> None:
-        """Ask another process, as one that was asked has advised."""
-        if self._pulling.expects(host) and not self._pulling.due(now):
-            self._want(control.read_referral(body), now)
-
     def _send(
         self, host: str, datagram: bytes, purpose: control_budget.Purpose
     ) -> None:
@@ -383,20 +307,20 @@
             self._started,
             self._leaving,
             self._knowledge.content_revision,
-            self._mesh.confirmed_ms(now),
-            self._mesh.store_failing,
+            self._store.confirmed_ms(now),
+            self._store.failing,
             self._server_load(now),
             b'',
             self._failing_percent(now),
             self._knowledge.layout_revision,
             self._holdings(now),
-            self._mesh.outage_ms(now),
+            self._store.outage_ms(now),
             self._budget.slim,
         )
 
     def _tell(
         self,
-        peers: list[mesh.Peer],
+        peers: list[peers.Peer],
         now: float,
         *,
         purpose: control_budget.Purpose = control_budget.Purpose.HEARTBEAT,
@@ -427,11 +351,11 @@
                     asked=bool(envelope.detail),
                 )
             elif envelope.kind == control.KIND_CHANGES:
-                self._on_changes(envelope.body, host, now)
+                self._exchange.on_changes(envelope.body, host, now)
             elif envelope.kind == control.KIND_WANT:
-                self._on_want(envelope.body, host, now)
+                self._exchange.on_want(envelope.body, host, now)
             elif envelope.kind == control.KIND_REFER:
-                self._on_referral(envelope.body, host, now)
+                self._exchange.on_referral(envelope.body, host, now)
             else:
                 self._on_envelope(envelope, host, now)
         except exceptions.TeaseldockError as error:
@@ -448,6 +372,7 @@
     ) -> None:
         new = self._mesh.is_new(host, heartbeat, now)
         peer = self._mesh.hear(host, heartbeat, now, asked=asked)
+        self._store.hear(heartbeat, now)
         if new:
             peer.named_at = 0.0
             self._reporter.note(
@@ -459,10 +384,10 @@
             if self._greets(peer, now) and not asked:
                 self._tell([peer], now)
         if heartbeat.revision > self._knowledge.content_revision:
-            self._pull(now)
+            self._exchange.pull(now)
         self._on_heartbeat(peer, now)
 
-    def _greets(self, peer: mesh.Peer, now: float) -> bool:
+    def _greets(self, peer: peers.Peer, now: float) -> bool:
         """Tell whether a process that is new hears of this one at once."""
         if self._is_balancer:
             return True
@@ -476,4 +401,4 @@
         if changes is None:
             return
         self._take(changes, host, now)
-        self._pull(now)
+        self._exchange.pull(now)
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/peer.py
@@ -0,0 +1,119 @@
+"""Describe another process as it last told of itself."""
+
+from __future__ import annotations
+
+import typing
+
+import siphash24
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import control
+
+#: Seconds for which bad news of a process is believed (that it leaves, takes
+#: no new flows, let an opening be repeated). It is asked again then; good news
+#: reaches only those that it reports to.
+BELIEVED_S = 2.0
+#: Seconds for which an agent counts as reporting after its last report.
+REPORTING_S = 1.5
+#: Seconds without an answer to a question after which a process counts as
+#: missing: thirty round trips between data centres.
+ANSWER_S = 0.1
+#: Seconds for which it counts as missing; it is asked again then, since
+#: nobody else tells that it is back.
+MISSING_S = 1.0
+#: Seconds without a word of a balancer that an agent reports to, until it
+#: reports to another one, and until that one is tried again.
+DESERTED_S = 1.3
+TRY_AGAIN_S = 5.0
+_RANK_KEY = b'teaseldock-read2'
+
+
+class Peer:
+    """Another process as it last described itself."""
+
+    def __init__(self, host: str, *, is_balancer: bool) -> None:
+        """Start with a process that has not been heard."""
+        self.host = host
+        self.is_balancer = is_balancer
+        self.heartbeat: control.Heartbeat | None = None
+        self.heard_at: float | None = None
+        self.known_at = 0.0
+        self.told_at = 0.0
+        self.named_at = 0.0
+        self.reported_at: float | None = None
+        # Since when it owes an answer to a question, or any word at all.
+        self.asked_at: float | None = None
+        self.unheard_since: float | None = None
+        self.rank = reader_rank(host)
+        self.report_rank = b''
+
+    @property
+    def revision(self) -> int:
+        """Return up to which revision the process knows the store."""
+        return self.heartbeat.revision if self.heartbeat else 0
+
+    def leaving(self, now: float) -> bool:
+        """Tell whether the process is about to stop.
+
+        That is believed for a while only: it tells everybody, but after its
+        restart only those that it reports to. Its instance would get no flows
+        of all others for ever.
+        """
+        if self.heartbeat is None or not self.heartbeat.leaving:
+            return False
+        return self.heard_within(BELIEVED_S, now)
+
+    def heard_within(self, seconds: float, now: float) -> bool:
+        """Tell whether the process was heard in the last seconds."""
+        return self.heard_at is not None and now - self.heard_at <= seconds
+
+    def reports(self, now: float) -> bool:
+        """Tell whether an agent reports here by itself."""
+        if self.is_balancer or self.reported_at is None:
+            return False
+        return now - self.reported_at <= REPORTING_S
+
+    def missing(self, now: float) -> bool:
+        """Tell whether the process owes the answer to a question."""
+        if self.asked_at is None:
+            return False
+        return ANSWER_S < now - self.asked_at < ANSWER_S + MISSING_S
+
+    def asked(self, now: float) -> None:
+        """Note a question; one that waits for its answer stays the first."""
+        if self.asked_at is None or now - self.asked_at > MISSING_S:
+            self.asked_at = now
+
+    def told(self, now: float) -> None:
+        """Note a heartbeat to the process."""
+        self.told_at = now
+        if self.unheard_since is None:
+            self.unheard_since = now
+
+    def deserts(self, now: float) -> bool:
+        """Tell whether the process has no word for whoever reports to it."""
+        if self.unheard_since is None:
+            return False
+        if now - self.unheard_since <= DESERTED_S:
+            return False
+        return now - self.told_at < TRY_AGAIN_S
+
+    def hear(
+        self, heartbeat: control.Heartbeat, now: float, *, asked: bool
+    ) -> None:
+        """Take over what the process says of itself.
+
+        :param asked: whether it answers a question.
+        """
+        if not asked:
+            self.reported_at = now
+        self.heartbeat = heartbeat
+        self.is_balancer = heartbeat.is_balancer
+        self.heard_at = now
+        self.asked_at = None
+        self.unheard_since = None
+
+
+def reader_rank(host: str) -> bytes:
+    """Return the order in which processes read the store."""
+    return siphash24.siphash24(host.encode(), key=_RANK_KEY).digest()
--- a/packages/teaseldock/teaseldock/packets/pulling.py
+++ b/packages/teaseldock/teaseldock/packets/pulling.py
@@ -18,7 +18,7 @@
 from teaseldock.packets import control
 
 if typing.TYPE_CHECKING:
-    from teaseldock.packets import mesh
+    from teaseldock.packets import peer as peers
     from teaseldock.packets import records
 
 #: Seconds until somebody else is asked: 8 KB take 0.03 s over 2 Mbit/s, and
@@ -49,7 +49,7 @@
         """Tell whether no question waits for its answer."""
         return self._asked_at is None or now - self._asked_at >= ASK_AGAIN_S
 
-    def choose(self, ahead: list[mesh.Peer]) -> mesh.Peer | None:
+    def choose(self, ahead: list[peers.Peer]) -> peers.Peer | None:
         """Return whom to ask, or None.
 
         :param ahead: processes that know more.
--- /dev/null
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -0,0 +1,126 @@
+"""Decide which processes read the store for all.
+
+The load it answers: hundreds of processes that need each change within
+seconds, before a store that bears a few thousand calls a second and charges
+each; readers that die, are cut off from the store or sit behind slim links;
+and a start of all at one moment, when nobody knows anything.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from teaseldock.packets import mesh
+from teaseldock.packets import peer as peers
+
+if typing.TYPE_CHECKING:
+    from teaseldock.packets import store_state
+
+#: Processes that read the store at a time. Two, so that the death of one
+#: delays nothing; each costs one call a change and one a WATCH_S.
+READERS = 2
+#: Age of the newest confirmation by the store, seconds, beyond which others
+#: begin to read too: a watch is answered each 1.5 s at the latest, so an age
+#: of 2 s means that both readers are gone. With the 0.3 s that a read takes on
+#: a slow store it keeps the 3 s that changes may take.
+TAKEOVER_S = 2.0
+#: Rounds that a confirmation takes to be known everywhere where not all hear
+#: each other in one round; added to the age above.
+RELAY_ROUNDS = 2
+#: Seconds between two of those that take over, in order of rank.
+TAKEOVER_STEP_S = 0.25
+#: Seconds over which agents that take over are spread by rank: they know the
+#: balancers but not each other.
+AGENT_SPREAD_S = 1.5
+#: Seconds that a started balancer waits for a peer's word before it reads: a
+#: round trip to another data centre takes 3 ms, a full read costs two calls.
+START_WAIT_S = 0.04
+#: Seconds over which agents that hear of no answer of the store after their
+#: start are spread by rank; of 136, some 15 begin before the first is done.
+COLD_SPREAD_S = 0.5
+
+
+class Readers:
+    """Who reads, as one process sees it."""
+
+    def __init__(
+        self,
+        processes: mesh.Mesh,
+        state: store_state.StoreState,
+        *,
+        host: str,
+        is_balancer: bool,
+        slim: bool,
+        now: float,
+    ) -> None:
+        """Start with this process among the others.
+
+        :param host: own IPv4 address.
+        :param slim: whether the own link is too slow to read for others.
+        """
+        self._mesh = processes
+        self._state = state
+        self._is_balancer = is_balancer
+        self._slim = slim
+        self._own_rank = peers.reader_rank(host)
+        self._started = now
+        self._rank = 0
+        self._ranked_at: tuple[float, bool] | None = None
+
+    def reads(self, now: float, *, leaving: bool) -> bool:
+        """Tell whether this process should read the store now.
+
+        The living balancers first in rank do, those on wide links before
+        the others. Whoever hears that nobody had an answer for long reads
+        too, in order of rank: waiting for a dead or cut-off reader would keep
+        old rules in force, which shows as new flows at a drained target;
+        everybody reading at once would use up the store's rate.
+
+        :param leaving: whether this process is about to stop.
+        """
+        age_s = now - (self._state.confirmed_at or self._started)
+        if self._starts_cold(now):
+            return True
+        if not self._is_balancer and age_s <= TAKEOVER_S:
+            return False
+        rank = self._rank_among(now, leaving=leaving)
+        if self._is_balancer and rank < READERS:
+            return now - self._started > START_WAIT_S
+        wait_s = TAKEOVER_S + TAKEOVER_STEP_S * rank
+        if len(self._mesh.balancers()) > mesh.FAN_OUT:
+            wait_s += RELAY_ROUNDS * mesh.ROUND_S
+        if not self._is_balancer:
+            wait_s += AGENT_SPREAD_S * self._own_rank[0] / 255
+        return age_s > wait_s
+
+    def _starts_cold(self, now: float) -> bool:
+        """Tell whether an agent should read because nobody has read yet.
+
+        After a loss of all power the balancers on slim links all read at one
+        moment, each for over a second, and nothing is served. Agents have
+        wide links; those first in rank are done within some ten milliseconds.
+        """
+        if self._is_balancer or self._slim or self._state.failing:
+            return False
+        if self._state.confirmed_at is not None:
+            return False
+        wait_s = START_WAIT_S + COLD_SPREAD_S * self._own_rank[0] / 255
+        return now - self._started > wait_s
+
+    def _rank_among(self, now: float, *, leaving: bool) -> int:
+        """Return how many living balancers come before this process.
+
+        It is reckoned anew a few times a second only: ticks ask for it.
+        """
+        if self._ranked_at is not None:
+            at, as_leaving = self._ranked_at
+            if as_leaving == leaving and 0 <= now - at < mesh.LIVING_KEPT_S:
+                return self._rank
+        own = (not self._is_balancer, leaving, self._slim, self._own_rank)
+        self._ranked_at = (now, leaving)
+        self._rank = sum(
+            (False, peer.leaving(now), peer.heartbeat.slim, peer.rank) < own
+            for peer in self._mesh.living_balancers(now)
+            if peer.heartbeat and not peer.heartbeat.store_failing
+        )
+        return self._rank
--- a/tests/packets/test_pulling.py
+++ b/tests/packets/test_pulling.py
@@ -8,14 +8,14 @@
 
 from bench import packet_world
 from teaseldock.packets import control
-from teaseldock.packets import mesh
+from teaseldock.packets import peer as peers
 from teaseldock.packets import pulling
 from teaseldock.packets import records
 
 
-def peer(host: str, revision: int) -> mesh.Peer:
+def peer(host: str, revision: int) -> peers.Peer:
     """Return a process that told its revision."""
-    item = mesh.Peer(host, is_balancer=True)
+    item = peers.Peer(host, is_balancer=True)
     item.hear(
         control.Heartbeat(True, 1, False, revision, 0, False, None, b''),
         100.0,
