Don't tell that a server is only warmer; ages passed on get no younger

Neither two balancers nor the agents beside the servers, which would have refused, had heard of it, while a release replaced 64 servers. Change: an entry that differs from the one before by less warm-up is no news.

--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -221,6 +221,8 @@
         known = self._entries.get(target.identifier)
         if known is not None and known.revision >= target.revision:
             return False
+        if known is not None and known.only_warmer(target):
+            return False
         removed = target.revision <= self._revision and not complete
         if known is None and removed:
             # All entries up to our revision are known here: it has been
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -124,6 +124,21 @@
         """
         return self.identifier, self.born_ms
 
+    def only_warmer(self, later: Target) -> bool:
+        """Tell whether a later entry says only that the warm-up goes on.
+
+        Servers that warm up write that each second or so; whoever knows when
+        an entry was first seen and how long the warm-up was lacks nothing.
+        Passed on, these entries of 64 servers that a release replaces were
+        most of what 195 processes told each other, so that some of them heard
+        after more than 6 s that a server leaves.
+        """
+        if later.warmup_ms >= self.warmup_ms:
+            return False
+        return self == later._replace(
+            warmup_ms=self.warmup_ms, revision=self.revision
+        )
+
     @property
     def place(self) -> tuple[str, str, int]:
         """Return the service and address that the flows of it are at."""
--- a/packages/teaseldock/teaseldock/packets/store_state.py
+++ b/packages/teaseldock/teaseldock/packets/store_state.py
@@ -14,6 +14,12 @@
 #: Seconds for which an outage of the store is remembered: entries that expire
 #: within them may do so for want of the store, three heartbeats after it went.
 OUTAGE_MEMORY_S = 10.0
+#: Seconds by which an age that another process tells is taken for older. Each
+#: word was on its way for some milliseconds, and waited in a queue; were it
+#: taken as it is, an answer would get younger with each process that passes
+#: it on. Among hundreds that tell each other all the time it would never look
+#: old, and nobody would take over from readers that are gone.
+PASSED_ON_S = 0.1
 
 
 def _age_ms(moment: float | None, now: float) -> int:
@@ -55,10 +61,11 @@
     def hear(self, heartbeat: control.Heartbeat, now: float) -> None:
         """Take over what another process knows."""
         if heartbeat.outage_ms >= 0:
-            outage_at = now - heartbeat.outage_ms / 1000
+            outage_at = now - heartbeat.outage_ms / 1000 - PASSED_ON_S
             self._outage_at = max(self._outage_at or outage_at, outage_at)
         if heartbeat.confirmed_ms >= 0:
-            self._confirm(now - heartbeat.confirmed_ms / 1000)
+            age_s = heartbeat.confirmed_ms / 1000 + PASSED_ON_S
+            self._confirm(now - age_s)
 
     def _confirm(self, at: float) -> None:
         if self._confirmed_at is None or at > self._confirmed_at:
--- a/tests/packets/test_knowledge.py
+++ b/tests/packets/test_knowledge.py
@@ -131,6 +131,33 @@
     assert young.content_revision >= old.content_revision
 
 
+def test_a_warm_up_is_told_once() -> None:
+    """Processes hear too late that a server leaves, while others warm up.
+
+    Symptom: new flows at servers that said 6.1 s before that they leave; both
+    the balancer and the agent had not heard of it.
+    Events: a release replaces 64 servers; each new one writes again and again
+    how much of its warm-up is left, and every process asked for all of that.
+    Cause: each such entry counted as news.
+    """
+    known = knowledge.Knowledge()
+    cold = target('a', 5, warmup_ms=4000)
+    known.apply(records.Changes(0, 5, [cold], [], None), 0.0)
+    for revision, left_ms in ((6, 3000), (7, 1000), (8, 0)):
+        later = target('a', revision, warmup_ms=left_ms)
+        news = records.Changes(revision - 1, revision, [later], [], None)
+        assert not known.apply(news, 1.0)
+        assert known.content_revision == 5
+    leaving = target('a', 9, draining=True)
+    assert known.apply(records.Changes(8, 9, [leaving], [], None), 2.0)
+    assert known.targets['a'].draining
+    again = target('a', 11, warmup_ms=4000)
+    assert known.apply(records.Changes(9, 11, [again], [], None), 3.0)
+    gone = records.Changes(11, 12, [], [records.Removal('a', 12)], None)
+    assert known.apply(gone, 4.0)
+    assert 'a' not in known.targets
+
+
 class Spreading(stateful.RuleBasedStateMachine):
     """One store, three processes, messages in any order."""
 
