Keep reports going beside news for everybody; let a pause make no old word new

And after a pause every process counted as heard 0.1 s ago, also one whose last word was 20 s old; its word on the flows it holds was then trusted. Ruled out: telling all balancers in each round (5 KB at 59 of them). Change: those that it reports to first, others besides; after a pause the times of all are moved by its length.

--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -26,8 +26,9 @@
     from teaseldock.packets import control
 
 #: Seconds between two rounds of heartbeats, of a balancer to others and of an
-#: agent to those that it reports to, and between two of a balancer to an agent
-#: that reports to it. Three and two fit into SILENT_S.
+#: agent to those that it reports to. A balancer tells an agent that reports to
+#: it in the first round after TO_AGENT_INTERVAL_S, every second one. Three
+#: rounds fit into SILENT_S.
 ROUND_S = 0.4
 TO_AGENT_INTERVAL_S = 0.6
 #: Processes that are told in one round at the most: up to 13 balancers hear
@@ -60,9 +61,6 @@
 #: Seconds for which it is trusted what an agent told of the flows it holds.
 #: An agent for which that changes tells everybody at once.
 TRUSTED_S = 3.0
-#: Age in seconds that what was heard is given after a pause of this process:
-#: in touch, but soon to be confirmed.
-WOKE_MARGIN_S = 0.1
 #: Seconds after which a silent process is forgotten.
 FORGET_S = 30.0
 #: Balancers named to a process that has started; bounds the heartbeat.
@@ -261,9 +259,13 @@
         self._forget(now)
         if self._is_balancer:
             return self._next_balancers() + self._next_agents(now)
-        if everybody:
-            return self._next_balancers()
-        return self.reported_to(now)
+        reported_to = self.reported_to(now)
+        if not everybody:
+            return reported_to
+        others = [
+            peer for peer in self._next_balancers() if peer not in reported_to
+        ]
+        return reported_to + others
 
     def _new(self, now: float) -> list[peers.Peer]:
         """Return balancers that became known since the last round."""
@@ -350,14 +352,18 @@
             if peer.revision > revision and peer.heard_within(TRUSTED_S, now)
         ]
 
-    def woke(self, now: float) -> None:
-        """Put off all judgements on others: this process has stood still."""
+    def woke(self, pause_s: float) -> None:
+        """Put off judgements on others: this process has stood still.
+
+        What was old before the pause stays old: an agent's word on its flows,
+        taken for new, would get a flow reset that it holds by now.
+        """
         self._round_at = 0.0
         for peer in self._peers.values():
             peer.asked_at = None
             peer.unheard_since = None
             if peer.heard_at is not None:
-                peer.heard_at = max(peer.heard_at, now - WOKE_MARGIN_S)
+                peer.heard_at += pause_s
 
     def newest_layout(self, now: float) -> int:
         """Return the newest layout revision of all living processes."""
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -193,12 +193,14 @@
     def _on_pause(self, now: float) -> None:
         # After a pause everybody looks silent and all knowledge may be old.
         # Acting on it at once would send new flows to servers that left.
-        pause_s = round(now - self._last_tick, 3)
+        pause_s = now - self._last_tick
         self._last_tick = now
         self._meters.counters['pauses'] += 1
-        self._reporter.note('paused', seconds=pause_s, **self._flow_inputs)
+        self._reporter.note(
+            'paused', seconds=round(pause_s, 3), **self._flow_inputs
+        )
         self._distrust_until = now + DISTRUST_S
-        self._mesh.woke(now)
+        self._mesh.woke(pause_s)
         self._tell(self._mesh.due(now, everybody=False), now)
 
     def reads(self, now: float) -> bool:
