Leave bytes for the changes when everybody asks for them

All ask the one that knows most, which is who reads the store; out of bytes, it told each asker whom to ask instead, 39 KB/s of referrals from the same 10 KB/s, and never had enough for the changes. Ruled out: readers that nobody replaces (changes are told of); warm-ups (the rule broke without them). Change: all that know more are asked alike; referrals have 2 KB/s at the most.

--- a/packages/teaseldock/teaseldock/packets/exchanging.py
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from teaseldock import budget
 from teaseldock.packets import control
 from teaseldock.packets import control_budget
 from teaseldock.packets import pulling
@@ -16,6 +17,13 @@
     from teaseldock.packets import records
     from teaseldock.packets import reporting
 
+#: Bytes a second, and at once, for telling askers whom to ask instead. Beyond
+#: that they get no answer: 194 processes that ask one for the newest changes
+#: five times a second would use up with these answers what it may send, so
+#: that it never sent the changes themselves, to anybody, for eleven seconds.
+REFERRALS_BYTES_PER_S = 2000.0
+REFERRALS_BURST_BYTES = 2000.0
+
 Send = typing.Callable[[str, bytes, control_budget.Purpose], None]
 Take = typing.Callable[['records.Changes', str, float], typing.Any]
 
@@ -46,6 +54,10 @@
         self._take = take
         self._meters = meters
         self._pulling = pulling.Pulling(randomness)
+        self._referrals = budget.Budget(
+            bytes_per_s=REFERRALS_BYTES_PER_S,
+            burst_bytes=REFERRALS_BURST_BYTES,
+        )
 
     def pull(self, now: float) -> None:
         """Ask for what others know and this process lacks, if it is time."""
@@ -76,7 +88,7 @@
             return
         purpose = control_budget.Purpose.CHANGES
         if not self._budget.allows(purpose, now):
-            self._refer(host)
+            self._refer(host, now)
             return
         self._meters.counters['changes_sent'] += 1
         self._pulling.sent(host, self._knowledge.content_revision)
@@ -84,16 +96,15 @@
         for datagram in control.pack_changes(changes):
             self._send(host, datagram, purpose)
 
-    def _refer(self, asker: str) -> None:
+    def _refer(self, asker: str, now: float) -> None:
         self._meters.counters['changes_put_off'] += 1
         revision = self._knowledge.content_revision
         other = self._pulling.referral(revision, asker)
-        if other is not None:
-            self._send(
-                asker,
-                control.pack_referral(other),
-                control_budget.Purpose.QUESTION,
-            )
+        if other is None or not self._referrals.has_room(now):
+            return
+        datagram = control.pack_referral(other)
+        self._referrals.spend(len(datagram) + control_budget.HEADER_BYTES)
+        self._send(asker, datagram, control_budget.Purpose.QUESTION)
 
     def on_referral(self, body: bytes, host: str, now: float) -> None:
         """Ask another process, as one that was asked has advised."""
--- a/packages/teaseldock/teaseldock/packets/pulling.py
+++ b/packages/teaseldock/teaseldock/packets/pulling.py
@@ -59,10 +59,9 @@
             others = ahead
         if not others:
             return None
-        newest = max(peer.revision for peer in others)
-        return self._random.choice(
-            [peer for peer in others if peer.revision == newest]
-        )
+        # The one that knows most is mostly who reads the store. Asked by all,
+        # it would be out of bytes all the time.
+        return self._random.choice(others)
 
     def asked(self, host: str, now: float) -> None:
         """Note a question."""
