--- a/packages/teaseldock/teaseldock/packets/control_budget.py
+++ b/packages/teaseldock/teaseldock/packets/control_budget.py
@@ -111,10 +111,6 @@
         """
         size += HEADER_BYTES
         self._spent[purpose.value] += size
-        if purpose is Purpose.HEARTBEAT:
-            # Charged with the rest, 11 KB/s of greetings left nothing for
-            # changes: nobody heard for eleven seconds that servers left.
-            return
         bucket = self._general
         if purpose is Purpose.SEARCH:
             bucket = self._searches
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -61,10 +61,6 @@
 #: Seconds for which it is trusted what an agent told of the flows it holds.
 #: An agent for which that changes tells everybody at once.
 TRUSTED_S = 3.0
-#: Seconds after which an agent that is heard again is greeted like one that
-#: has started. Agents that tell all balancers in turn are heard every few
-#: seconds; greeting them each time took 8 KB/s at a balancer.
-FORGOTTEN_S = 10.0
 #: Seconds after which a silent process is forgotten.
 FORGET_S = 30.0
 #: Balancers named to a process that has started; bounds the heartbeat.
@@ -204,7 +200,7 @@
         if heartbeat.is_balancer and not self._is_balancer:
             # Balancers that an agent doesn't report to call now and then.
             return False
-        after_s = FORGOTTEN_S
+        after_s = SILENT_S
         if heartbeat.is_balancer:
             after_s = self._silent_s(len(self.balancers()))
         return not peer.heard_within(after_s, now)
