Place no new flows in an evacuated data centre

Nothing usable is refused at once, with its reason. Weighed: leaving gradually inside the bound. Dead code left in node.py is gone.

--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -24,6 +24,7 @@
         slots: int,
         service_s: float,
         queue: int = 16,
+        data_centre: str = 'dc',
     ) -> None:
         """Start ready and empty."""
         self.world = world
@@ -32,6 +33,8 @@
         self.slots = slots
         self.service_s = service_s
         self.queue_limit = queue
+        self.data_centre = data_centre
+        self.warmup_ms = 0
         self.run = 0
         self.born_ms = 1
         self.up = True
@@ -60,10 +63,10 @@
             self.service,
             self.host,
             8080,
-            'dc',
+            self.data_centre,
             self.slots,
             self.draining,
-            0,
+            self.warmup_ms,
             0,
             self.born_ms,
         )
--- a/bench/packet_store.py
+++ b/bench/packet_store.py
@@ -25,7 +25,10 @@
         self.delay_s = 0.004
         self._configuration: records.Configuration | None = None
         self._targets: dict[str, records.Target] = {}
-        self._events: list[records.Target | records.Removal] = []
+        self._events: list[
+            records.Target | records.Removal | records.Evacuation
+        ] = []
+        self._evacuations: dict[str, records.Evacuation] = {}
         self._watches: list[tuple[packet_world.Process, int, float]] = []
 
     def configure(
@@ -60,6 +63,16 @@
         self._events.append(records.Removal(identifier, self.revision))
         self._wake()
 
+    def evacuate(self, data_centre: str, *, active: bool = True) -> None:
+        """Request that a data centre gets no new flows, or take it back."""
+        self.revision += 1
+        item = records.Evacuation(data_centre, self.revision, active)
+        self._evacuations.pop(data_centre, None)
+        if active:
+            self._evacuations[data_centre] = item
+        self._events.append(item)
+        self._wake()
+
     def forget_history(self) -> None:
         """Make older revisions unavailable."""
         self.history_from = self.revision
@@ -105,6 +118,7 @@
                 list(self._targets.values()),
                 [],
                 configuration,
+                evacuations=tuple(self._evacuations.values()),
             )
         news = [item for item in self._events if item.revision > since]
         removed = {
@@ -112,7 +126,16 @@
             for item in news
             if isinstance(item, records.Removal)
         }
-        latest = {item.identifier: item for item in news}
+        evacuations = {
+            item.data_centre: item
+            for item in news
+            if isinstance(item, records.Evacuation)
+        }
+        latest = {
+            item.identifier: item
+            for item in news
+            if not isinstance(item, records.Evacuation)
+        }
         return records.Changes(
             since,
             self.revision,
@@ -128,6 +151,7 @@
                 and item.identifier in removed
             ],
             configuration,
+            evacuations=tuple(evacuations.values()),
         )
 
     def _wake(self) -> None:
--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -72,7 +72,7 @@
         self._held: list[tuple[bool, typing.Callable[[], None]]] = []
         options: dict[str, typing.Any] = {
             'host': host,
-            'data_centre': 'dc',
+            'data_centre': server.data_centre if server else 'dc',
             'seeds': world.seeds,
             'outlet': self,
             'reporter': Lines(world, host),
--- a/packages/teaseldock-edge/teaseldock_edge/meters_page.py
+++ b/packages/teaseldock-edge/teaseldock_edge/meters_page.py
@@ -48,6 +48,7 @@
             ('version', self._node.knowledge.version),
             ('targets', len(self._node.knowledge.targets)),
             ('processes', len(self._node.mesh.peers)),
+            ('evacuated', len(self._node.knowledge.evacuated)),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=value)
         for name, histogram in meters.histograms.items():
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -42,6 +42,7 @@
     NOT_HELD = 0
     OTHER_SERVICE = 1
     LEAVING = 2
+    EVACUATED = 3
 
 
 class Agent(node.Node):
@@ -126,9 +127,8 @@
         return bool(self._holdings(now).moved)
 
     def _server_load(self, now: float) -> load.Load:
-        target = self.own_target
         current = self._tracker.load(self._admission.slots, now)
-        if self._leaving or (target is not None and target.draining):
+        if self._why_no_openings() is not None:
             current = current._replace(accepting=False)
         return current
 
@@ -278,9 +278,13 @@
             )
             return
         item = self._outlet.read_packet(envelope.body)
-        if item.opening and self._refuses_openings():
-            self._give_back(item.raw, self._tag, host, Reason.LEAVING)
-            self._note_given_back(item, host, Reason.LEAVING)
+        refusal = self._why_no_openings() if item.opening else None
+        if refusal is not None and not self._tracker.half_open(item.flow):
+            # A copy of an opening that the server has accepted goes on to it.
+            # Given back, the balancer that finds no other target would reset
+            # the flow, which opens here at that moment.
+            self._give_back(item.raw, self._tag, host, refusal)
+            self._note_given_back(item, host, refusal)
             return
         if not item.opening and not self._tracker.belongs(item):
             # The flow stays known: an agent that forgot its server's number
@@ -308,9 +312,15 @@
         self._admission.note_given(item, now)
         self._to_server(item, host)
 
-    def _refuses_openings(self) -> bool:
-        target = self.own_target
-        return self._leaving or (target is not None and target.draining)
+    def _why_no_openings(self) -> Reason | None:
+        """Return why the server gets no new flows, or None."""
+        target = self._own_target
+        if self._leaving or (target is not None and target.draining):
+            return Reason.LEAVING
+        data_centre = target.data_centre if target else self._data_centre
+        if data_centre in self._knowledge.evacuated:
+            return Reason.EVACUATED
+        return None
 
     def _note_given_back(
         self, item: packet.Packet, host: str, reason: Reason
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -239,8 +239,15 @@
             # A refusal now could meet the flow just as it opens there.
             hint.tried.clear()
             usable = self._targets.for_new_flow(item.flow, hint, now)
+        if not usable and hint.host and hint.host not in hint.denied:
+            # Its target may get no new flows any more, but may have accepted
+            # the earlier copy. A reset now would meet the flow as it opens;
+            # that agent tells, or its server repeats its acceptance.
+            self._meters.counters['copies_followed'] += 1
+            self._forward(item, hint)
+            return
         if not usable:
-            self._refuse(item, 'no target')
+            self._refuse(item, self._targets.why_none(hint.service))
             return
         end = group * placing.CANDIDATES
         members = usable[end - placing.CANDIDATES : end]
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -57,11 +57,14 @@
         self._placed: dict[Run, collections.deque[float]] = {}
         self._first_seen: dict[Run, float] = {}
         self._suspected: dict[str, float] = {}
-        self._orders = ranking.Orders()
+        # Of targets that may get new flows, and of all that may hold old ones.
+        self._placeable_orders = ranking.Orders()
+        self._holder_orders = ranking.Orders()
 
     def refresh(self, now: float) -> None:
         """Take over changed entries."""
-        self._orders.clear()
+        self._placeable_orders.clear()
+        self._holder_orders.clear()
         known = {item.run for item in self._knowledge.targets.values()}
         for run in known:
             self._first_seen.setdefault(run, now)
@@ -138,18 +141,14 @@
         self, flow: bytes, service: str, now: float
     ) -> list[records.Target]:
         near = self.near(flow)
-        targets = self._knowledge.of_service(service)
-        first = self._orders.first(flow, service, targets, near=near)
+        targets = self._knowledge.placeable(service)
+        first = self._placeable_orders.first(flow, service, targets, near=near)
         lapsed = self._lapsed(service, now)
         if lapsed:
             first = placing.ranked(
                 flow, first + lapsed, near=near, count=ranking.KEPT
             )
-        return [
-            target
-            for target in first
-            if not target.draining and not self.is_silent(target, now)
-        ]
+        return [item for item in first if not self.is_silent(item, now)]
 
     def _lapsed(self, service: str, now: float) -> list[records.Target]:
         if not self._store.recent_outage(now):
@@ -157,15 +156,19 @@
         return self._knowledge.lapsed_of(service, now)
 
     def _placeable(self, service: str, now: float) -> list[records.Target]:
-        targets = [
-            target
-            for target in self._knowledge.of_service(service)
-            if not target.draining
-        ]
-        targets += self._lapsed(service, now)
+        targets = self._knowledge.placeable(service)
+        targets = targets + self._lapsed(service, now)
         alive = [item for item in targets if not self.is_silent(item, now)]
         return alive or targets
 
+    def why_none(self, service: str) -> str:
+        """Return why no target of a service may get a new flow."""
+        evacuated = self._knowledge.evacuated
+        for target in self._knowledge.of_service(service):
+            if not target.draining and target.data_centre in evacuated:
+                return 'data centre evacuated'
+        return 'no target'
+
     def _candidate(
         self, target: records.Target, now: float
     ) -> placing.Candidate:
@@ -209,7 +212,7 @@
         targets: list[records.Target] = []
         for service in dict.fromkeys(services):
             of_service = self._knowledge.of_service(service)
-            targets += self._orders.first(
+            targets += self._holder_orders.first(
                 flow, service, of_service, near=self.near(flow)
             )
             targets += of_service
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -10,6 +10,7 @@
 import collections
 import typing
 
+from teaseldock.packets import evacuations
 from teaseldock.packets import records
 from teaseldock.packets import route_table
 
@@ -45,6 +46,8 @@
         self._entries: dict[str, records.Target] = {}
         self._targets: dict[str, records.Target] = {}
         self._services: dict[str, list[records.Target]] = {}
+        self._placeable: dict[str, list[records.Target]] = {}
+        self._evacuations = evacuations.Evacuations()
         self._removals: collections.deque[records.Removal] = collections.deque(
             maxlen=REMOVALS_KEPT
         )
@@ -132,6 +135,18 @@
         """Return the registered targets of a service."""
         return self._services.get(service, [])
 
+    def placeable(self, service: str) -> list[records.Target]:
+        """Return the targets of a service that may get new flows.
+
+        Those that leave don't, nor those in an evacuated data centre.
+        """
+        return self._placeable.get(service, [])
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres that get no new flows."""
+        return self._evacuations.active
+
     def services_of(self, address: bytes) -> list[str]:
         """Return the services that the route of an address names."""
         route = self._table.route(address)
@@ -167,7 +182,7 @@
             if item.target.service == service
             and item.expired
             and now - item.at < LAPSE_GRACE_S
-            and not item.target.draining
+            and self._may_get_flows(item.target)
             and item.target.host not in self._hosts
         ]
 
@@ -190,6 +205,7 @@
             fresh = self._put(target, now, complete=complete) or fresh
         for removal in changes.removals:
             fresh = self._remove(removal, now) or fresh
+        fresh = self._evacuate(changes, complete=complete) or fresh
         if complete:
             fresh = self._drop_unlisted(changes, now) or fresh
             self._removals_since = changes.upto
@@ -215,6 +231,18 @@
             self._note_layout(newest.revision)
         return fresh
 
+    def _evacuate(self, changes: records.Changes, *, complete: bool) -> bool:
+        items = list(changes.evacuations)
+        if complete:
+            items += self._evacuations.unlisted(items, changes.upto)
+        fresh = self._evacuations.apply(items)
+        for item in fresh:
+            self._note_revision(item.revision)
+        return bool(fresh)
+
+    def _may_get_flows(self, target: records.Target) -> bool:
+        return not target.draining and target.data_centre not in self.evacuated
+
     def _put(
         self, target: records.Target, now: float, *, complete: bool
     ) -> bool:
@@ -279,6 +307,10 @@
         for target in self._targets.values():
             services.setdefault(target.service, []).append(target)
         self._services = services
+        self._placeable = {
+            name: [item for item in targets if self._may_get_flows(item)]
+            for name, targets in services.items()
+        }
         self._hosts = {target.host for target in self._targets.values()}
         self._vanished = {
             name: item
@@ -310,4 +342,5 @@
             configuration,
             change,
             self.content_revision,
+            self._evacuations.since(revision),
         )
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -265,6 +265,7 @@
             targets=len(self._knowledge.targets),
             entries=len(changes.targets),
             removals=len(changes.removals),
+            evacuated=sorted(self._knowledge.evacuated),
         )
         self._note_unnamed()
         hosts = {item.host for item in self._knowledge.targets.values()}
@@ -394,13 +395,3 @@
         if self._is_balancer:
             return True
         return peer.is_balancer and self._mesh.wants(peer.host, now)
-
-    def _on_changes(self, body: bytes, host: str, now: float) -> None:
-        if not self._pulling.expects(host):
-            self._meters.counters['dropped_changes_of_stranger'] += 1
-            return
-        changes = self._pulling.add(body, host)
-        if changes is None:
-            return
-        self._take(changes, host, now)
-        self._exchange.pull(now)
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -159,6 +159,19 @@
     overwritten: bool = False
 
 
+class Evacuation(typing.NamedTuple):
+    """Whether the operator wants a data centre to get no new flows.
+
+    :ivar data_centre: its name; no target need be there.
+    :ivar revision: the store's revision of the request, or of its end.
+    :ivar active: whether it stands; otherwise it was taken back.
+    """
+
+    data_centre: str
+    revision: int
+    active: bool
+
+
 class Changes(typing.NamedTuple):
     """What one process, or the store, knows beyond a revision.
 
@@ -171,6 +184,7 @@
     :ivar configuration_change: in place of it, what changed in it.
     :ivar newest: revision of the newest change that the sender knows of; 0
         from the store. It may be of an entry that is gone by now.
+    :ivar evacuations: of data centres, requested or taken back.
     """
 
     since: int
@@ -180,3 +194,4 @@
     configuration: Configuration | None
     configuration_change: ConfigurationChange | None = None
     newest: int = 0
+    evacuations: tuple[Evacuation, ...] = ()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -236,3 +236,21 @@
     for read in (documents.read_range, documents.read_events):
         with pytest.raises(exceptions.DocumentError):
             read(body)
+
+
+def test_the_operators_evacuations_are_read() -> None:
+    """A request stands while its key is there, whatever its value says."""
+    result = changes(
+        [
+            item('op/evacuate/north', {}, 7),
+            documents.Item('op/evacuate/east', 8, tombstone=True),
+            documents.Item('op/evacuate/south', 9, '%%'),
+            documents.Item('op/evacuate/south', 11, tombstone=True),
+        ],
+        [],
+    )
+    assert sorted(result.evacuations) == [
+        records.Evacuation('east', 8, False),
+        records.Evacuation('north', 7, True),
+        records.Evacuation('south', 11, False),
+    ]
