Hold the operator's limit of a cold server at its agent

Cause: the configuration's limit (requests a second that a cold server bears) was not decoded, and nothing bounded what a cold server gets: balancers weigh it as partly busy, each by itself. Change: the limit is a record of the configuration; the agent, the only one that sees all its server gets, counts openings and requests of open flows over a sliding second, gives openings back beyond it, and lets requests of open flows wait in their order. A data centre that is taken back counts as cold until entries tell. A server that gets cold again is seen as cold by balancers. Weighed: token bucket (lets its burst through beyond the limit) against the moments of the last events (exact over any span): the latter. Holding openings in place of giving them back: others have room, and if nobody has, the caller learns at once.

--- a/bench/packet_store.py
+++ b/bench/packet_store.py
@@ -37,6 +37,7 @@
         routes: list[records.Route],
         *,
         idle_timeout_ms: int = 15_000,
+        cold_limits: tuple[records.ColdLimit, ...] = (),
     ) -> None:
         """Publish a configuration."""
         self.revision += 1
@@ -44,7 +45,12 @@
             choice.service for route in routes for choice in route.choices
         }
         self._configuration = records.Configuration(
-            version, self.revision, idle_timeout_ms, routes, sorted(services)
+            version,
+            self.revision,
+            idle_timeout_ms,
+            routes,
+            sorted(services),
+            cold_limits,
         )
         self._wake()
 
--- a/packages/teaseldock/teaseldock/packets/admission.py
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -19,6 +19,7 @@
     from teaseldock.packets import knowledge
     from teaseldock.packets import packet
     from teaseldock.packets import tracking
+    from teaseldock.packets import warming
 
 #: Terms of requests whose route is unknown here: an agent that knows no
 #: configuration yet must not hold anything back for long.
@@ -40,6 +41,7 @@
         self,
         tracker: tracking.Tracker,
         known: knowledge.Knowledge,
+        warmth: warming.Warming,
         *,
         to_server: ToServer,
         inputs: Inputs,
@@ -54,6 +56,7 @@
         """
         self._tracker = tracker
         self._knowledge = known
+        self._warming = warmth
         self._to_server = to_server
         self._inputs = inputs
         self._reporter = reporter
@@ -111,10 +114,27 @@
         if terms is None:
             return
         waiting = self._queue.offer(
-            item.flow, terms, slots=self._slots, since=asked.since, now=now
+            item.flow,
+            terms,
+            slots=self._slots_now(now),
+            since=asked.since,
+            now=now,
         )
         if waiting is not None:
             self._meters.counters['requests_waited'] += 1
+        else:
+            self._warming.note_requests(1, now)
+
+    def _slots_now(self, now: float) -> int:
+        """Return the slots that may be used, fewer while the server is cold.
+
+        Requests of flows that are open can't go elsewhere: beyond the cold
+        server's limit they wait here, in their order.
+        """
+        left = self._warming.requests_left(now)
+        if left is None:
+            return self._slots
+        return min(self._slots, self._queue.running + left - dispatching.AHEAD)
 
     def _terms(self, flow: bytes) -> dispatching.Terms | None:
         """Return the terms of a flow's requests; None for uploads.
@@ -145,6 +165,7 @@
         terms = self._terms(item.flow)
         if terms is not None:
             self._queue.begin(item.flow, terms, slots=self._slots, now=now)
+            self._warming.note_requests(1, now)
 
     def from_server(self, item: packet.Packet, now: float) -> None:
         """Note a packet of the server: an answer, or the end of a flow."""
@@ -172,7 +193,9 @@
 
     def release(self, now: float) -> None:
         """Give the requests whose turn has come to the server."""
-        for item in self._queue.release(slots=self._slots, now=now):
+        released = self._queue.release(slots=self._slots_now(now), now=now)
+        self._warming.note_requests(len(released), now)
+        for item in released:
             waited_ms = (now - item.since) * 1000
             self._meters.time('wait', waited_ms)
             self._reporter.note(
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -16,6 +16,7 @@
 from teaseldock.packets import reporting
 from teaseldock.packets import searching
 from teaseldock.packets import tracking
+from teaseldock.packets import warming
 
 if typing.TYPE_CHECKING:
     from teaseldock import load
@@ -43,6 +44,7 @@
     OTHER_SERVICE = 1
     LEAVING = 2
     EVACUATED = 3
+    COLD = 4
 
 
 class Agent(node.Node):
@@ -61,9 +63,12 @@
         self._port = port
         self._tag = control.service_tag(service)
         self._tracker = tracking.Tracker(now)
+        self._warming = warming.Warming(now)
+        self._was_evacuated = False
         self._admission = admission.Admission(
             self._tracker,
             self._knowledge,
+            self._warming,
             to_server=self._to_server,
             inputs=lambda: self._flow_inputs,
             reporter=self._reporter,
@@ -128,7 +133,7 @@
 
     def _server_load(self, now: float) -> load.Load:
         current = self._tracker.load(self._admission.slots, now)
-        if self._why_no_openings() is not None:
+        if self._why_no_openings(now) is not None:
             current = current._replace(accepting=False)
         return current
 
@@ -156,6 +161,7 @@
     def _on_knowledge(self, now: float) -> None:
         before = self._own_target
         target = self._own_target = self._find_own_target()
+        self._learn_warmth(now)
         if target is None:
             # Its entry expired; the slots stay what they were.
             if before is not None:
@@ -168,6 +174,23 @@
             self._on_restart(self._served_run, target)
         self._served_run = target.run
 
+    def _learn_warmth(self, now: float) -> None:
+        configuration = self._knowledge.configuration
+        if configuration is not None:
+            limit = configuration.cold_limit(self._service)
+            self._warming.set_limit(limit)
+        if self._own_target is not None:
+            self._warming.take_entry(self._own_target, now)
+        evacuated = self._is_evacuated()
+        if self._was_evacuated and not evacuated:
+            self._warming.suppose_cold(now)
+        self._was_evacuated = evacuated
+
+    def _is_evacuated(self) -> bool:
+        target = self._own_target
+        data_centre = target.data_centre if target else self._data_centre
+        return data_centre in self._knowledge.evacuated
+
     def _on_restart(
         self, before: tuple[str, int], target: records.Target
     ) -> None:
@@ -278,7 +301,7 @@
             )
             return
         item = self._outlet.read_packet(envelope.body)
-        refusal = self._why_no_openings() if item.opening else None
+        refusal = self._why_no_openings(now) if item.opening else None
         if refusal is not None and not self._tracker.half_open(item.flow):
             # A copy of an opening that the server has accepted goes on to it.
             # Given back, the balancer that finds no other target would reset
@@ -292,6 +315,8 @@
             self._note_given_back(item, host, Reason.NOT_HELD)
             self._give_back(item.raw, self._tag, host, Reason.NOT_HELD)
             return
+        if item.opening:
+            self._warming.note_opening(now)
         if self._admission.waits(item, host, now):
             return
         self._to_server(item, host)
@@ -312,14 +337,15 @@
         self._admission.note_given(item, now)
         self._to_server(item, host)
 
-    def _why_no_openings(self) -> Reason | None:
+    def _why_no_openings(self, now: float) -> Reason | None:
         """Return why the server gets no new flows, or None."""
         target = self._own_target
         if self._leaving or (target is not None and target.draining):
             return Reason.LEAVING
-        data_centre = target.data_centre if target else self._data_centre
-        if data_centre in self._knowledge.evacuated:
+        if self._is_evacuated():
             return Reason.EVACUATED
+        if self._warming.openings_left(now) == 0:
+            return Reason.COLD
         return None
 
     def _note_given_back(
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -337,12 +337,15 @@
     def _refuse(self, item: packet.Packet, why: str) -> None:
         """Reset a flow that is not open: nothing of it has run."""
         self._meters.counters['refused'] += 1
+        hint = self._hints.get(item.flow)
+        denied = len(hint.denied) if hint else 0
         self._hints.drop(item.flow)
         self._inquiries.drop(item.flow)
         self._reporter.note(
             'refused',
             flow=reporting.flow_text(item.flow),
             why=why,
+            denied=denied,
             **self._flow_inputs,
         )
         self._outlet.reset_caller(item)
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -35,6 +35,17 @@
 Run = tuple[str, int]
 
 
+class _Warmth(typing.NamedTuple):
+    """When a target is warm, by an entry of it.
+
+    :ivar revision: of the entry.
+    :ivar at: seconds.
+    """
+
+    revision: int
+    at: float
+
+
 class Candidates:
     """The targets as one balancer sees them: entries, reports, own acts."""
 
@@ -55,7 +66,7 @@
         self._store = state
         self._data_centre = data_centre
         self._placed: dict[Run, collections.deque[float]] = {}
-        self._first_seen: dict[Run, float] = {}
+        self._warm_at: dict[Run, _Warmth] = {}
         self._suspected: dict[str, float] = {}
         # Of targets that may get new flows, and of all that may hold old ones.
         self._placeable_orders = ranking.Orders()
@@ -65,12 +76,17 @@
         """Take over changed entries."""
         self._placeable_orders.clear()
         self._holder_orders.clear()
-        known = {item.run for item in self._knowledge.targets.values()}
-        for run in known:
-            self._first_seen.setdefault(run, now)
-        for run in list(self._first_seen):
-            if run not in known:
-                del self._first_seen[run]
+        targets = {item.run: item for item in self._knowledge.targets.values()}
+        for run, target in targets.items():
+            known = self._warm_at.get(run)
+            if known is None or known.revision != target.revision:
+                # A server may get cold again, as its data centre is emptied.
+                self._warm_at[run] = _Warmth(
+                    target.revision, now + target.warmup_ms / 1000
+                )
+        for run in list(self._warm_at):
+            if run not in targets:
+                del self._warm_at[run]
                 self._placed.pop(run, None)
 
     def note_placed(self, target: records.Target, now: float) -> None:
@@ -179,7 +195,7 @@
             reported_at = peer.heard_at
         placed = self._placed.get(target.run, ())
         shown = reported_at - placing.UNREPORTED_S
-        first_seen = self._first_seen.get(target.run, now)
+        warmth = self._warm_at.get(target.run)
         age_s = now - reported_at
         unreported = sum(1 for at in placed if at > shown)
         if age_s > inquiry.FRESH_S:
@@ -195,7 +211,7 @@
             heartbeat.server_load if heartbeat else None,
             age_s,
             unreported,
-            (now - first_seen) * 1000 < target.warmup_ms,
+            warmth is not None and now < warmth.at,
             heartbeat.failing_percent / 100 if heartbeat else 0.0,
         )
 
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -47,6 +47,19 @@
     priority: int
 
 
+class ColdLimit(typing.NamedTuple):
+    """What a server of one service may take while it is cold.
+
+    :ivar service: its name.
+    :ivar warmup_ms: how long a server stays cold after its start.
+    :ivar requests_per_s: requests that it bears meanwhile, over any second.
+    """
+
+    service: str
+    warmup_ms: int
+    requests_per_s: float
+
+
 class Configuration(typing.NamedTuple):
     """One published configuration.
 
@@ -55,6 +68,7 @@
     :ivar idle_timeout_ms: idle time after which a flow may be forgotten.
     :ivar routes: all routes.
     :ivar services: the names of all services.
+    :ivar cold_limits: of the services that have one.
     """
 
     version: int
@@ -62,6 +76,14 @@
     idle_timeout_ms: int
     routes: list[Route]
     services: list[str]
+    cold_limits: tuple[ColdLimit, ...] = ()
+
+    def cold_limit(self, service: str) -> ColdLimit | None:
+        """Return the limit of a service's cold servers, None for none."""
+        for limit in self.cold_limits:
+            if limit.service == service:
+                return limit
+        return None
 
 
 class ConfigurationChange(typing.NamedTuple):
@@ -77,6 +99,7 @@
     :ivar services: the names of all services.
     :ivar routes: routes that are new or have changed.
     :ivar dropped: addresses of routes that are gone.
+    :ivar cold_limits: see :class:`Configuration`.
     """
 
     version: int
@@ -85,6 +108,7 @@
     services: list[str]
     routes: list[Route]
     dropped: list[bytes]
+    cold_limits: tuple[ColdLimit, ...] = ()
 
 
 class Target(typing.NamedTuple):
--- a/packages/teaseldock/teaseldock/packets/route_table.py
+++ b/packages/teaseldock/teaseldock/packets/route_table.py
@@ -80,6 +80,7 @@
                 change.idle_timeout_ms,
                 list(routes.values()),
                 change.services,
+                change.cold_limits,
             )
         )
 
@@ -109,4 +110,5 @@
                 for address, dropped_at in self._dropped.items()
                 if dropped_at > revision
             ],
+            newest.cold_limits,
         )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -254,3 +254,18 @@
         records.Evacuation('north', 7, True),
         records.Evacuation('south', 11, False),
     ]
+
+
+def test_limits_of_cold_servers_are_read() -> None:
+    """A rate of 0, or none, is no limit."""
+    services = [
+        {'name': 'one', 'warmupS': 2.0, 'warmupPerS': 7.5},
+        {'name': 'two', 'warmupS': 2.0, 'warmupPerS': 0.0},
+        {'name': 'three'},
+    ]
+    result = changes(
+        [item('op/config', {**CONFIG, 'services': services}, 8)], []
+    )
+    assert result.configuration.cold_limits == (
+        records.ColdLimit('one', 2000, 7.5),
+    )
