Evacuate data centres in the soak, and check that no flow opens there

Cause: the soak knew nothing of evacuations, which run against store outages, killed processes and foreign entries. Change: one more fault (either of two data centres, overlapping, also while the store misbehaves) and one more check (no flow opens there after the bound, stretched while the store was disturbed).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -68,6 +68,12 @@
         bound = BOUND_S if at - stable > CALM_S else BOUND_S + STRETCH_S
         if since is not None and at - since > bound:
             yield f'leaving: {opening.host} got a flow {at - since:.1f} s late'
+        evacuated_at = _evacuated_at(played, opening)
+        if evacuated_at is not None and at - evacuated_at > bound:
+            yield (
+                f'evacuated: {opening.host} got a flow '
+                f'{at - evacuated_at:.1f} s late'
+            )
         states = played.routes.get(port)
         if states is None:
             continue
@@ -76,6 +82,17 @@
             yield f'old route: {port} opened {at - changed_at:.1f} s late'
 
 
+def _evacuated_at(
+    played: world.World, opening: servers.Opening
+) -> float | None:
+    """Return since when its data centre was evacuated at an opening."""
+    states = played.evacuations.get(opening.data_centre, [])
+    before = [state for state in states if state[0] <= opening.at]
+    if not before or not before[-1][1]:
+        return None
+    return before[-1][0]
+
+
 def _not_served(played: world.World) -> typing.Iterator[str]:
     answered = failed = 0
     for caller in played.callers:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -63,6 +63,7 @@
             self._compact,
             self._configure,
             self._configure_many,
+            self._evacuate,
             self._lose_packets,
         ]
         while time.monotonic() < until:
@@ -159,6 +160,13 @@
     async def _configure_many(self) -> None:
         self._world.configure_many()
 
+    async def _evacuate(self) -> None:
+        """Empty a data centre for a while; both may be at one moment."""
+        name = f'dc-{self._random.randrange(2)}'
+        self._world.evacuate(name, active=True)
+        await asyncio.sleep(self._random.uniform(2.0, 7.0))
+        self._world.evacuate(name, active=False)
+
     async def _lose_packets(self) -> None:
         self._world.fabric.loss = 0.05
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -27,6 +27,7 @@
     """A flow that a server took.
 
     :ivar leaving_since: when its leaving was accepted, if it was leaving.
+    :ivar data_centre: where the server runs.
     """
 
     at: float
@@ -34,6 +35,7 @@
     service: str
     port: int
     leaving_since: float | None
+    data_centre: str
 
 
 class Journal:
@@ -80,6 +82,11 @@
         """Return the key of its entry."""
         return f'servers/i-{self.number}-{self._name}'
 
+    @property
+    def data_centre(self) -> str:
+        """Return where it runs."""
+        return f'dc-{self.number % 2}'
+
     @property
     def up(self) -> bool:
         """Tell whether it runs."""
@@ -113,7 +120,7 @@
             {
                 'service': self.service,
                 'address': f'{self.host}:{network.SERVER_PORT}',
-                'zone': f'dc-{self.number % 2}',
+                'zone': self.data_centre,
                 'version': 'v1',
                 'capacity': 2,
                 'state': state,
@@ -173,6 +180,7 @@
                 self.service,
                 seen.flow.port,
                 self.draining_since,
+                self.data_centre,
             )
         )
         number = self.flows.setdefault(
--- a/soak/world.py
+++ b/soak/world.py
@@ -47,6 +47,7 @@
         self.store = store.Store()
         self.store_disturbed_at = 0.0
         self.routes: dict[int, list[tuple[float, bool]]] = {}
+        self.evacuations: dict[str, list[tuple[float, bool]]] = {}
         self._version = 0
         self._idle_routes = 0
         address = (network.host(4, 1), network.CONTROL_PORT)
@@ -117,6 +118,18 @@
         self._idle_routes = _IDLE_ROUTES - self._idle_routes
         self.configure()
 
+    def evacuate(self, data_centre: str, *, active: bool) -> None:
+        """Request that a data centre gets no new flows, or take it back."""
+        key = f'op/evacuate/{data_centre}'
+        at = time.monotonic()
+        if active:
+            at = self.store.put(key, {})
+        else:
+            self.store.remove(key)
+        states = self.evacuations.setdefault(data_centre, [])
+        if not states or states[-1][1] is not active:
+            states.append((at, active))
+
     @staticmethod
     def _route(service: str, port: int) -> dict:
         return {
