Tell removals and routes that the teller itself never knew

(1) A process that hears of a removal without ever having known the entry kept nothing of it, yet claimed to know all up to there; who asked it for what it lacks kept the server that is gone. (2) A process that jumped over a version of the configuration tells another, that has that version in force, what has changed since; a route that came with it and went after it stayed in force there. Symptom of both: new flows where none may go, at one process that believes it is current, for good. Change: (1) removals that are news are kept, known entry or not; (2) a change carries a digest of the routes that result; who gets another one asks for all. Ruled out: always sending the whole (7 KB for each of 200 processes); telling the asker's version (it would need the sender's whole history). Measured: both tests failed before (the second with the digest not compared).

--- a/packages/teaseldock/teaseldock/packets/exchanging.py
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -133,7 +133,7 @@
         self._meters.counters['changes_wanted'] += 1
         self._send(
             host,
-            control.pack_want(self._knowledge.content_revision),
+            control.pack_want(self._knowledge.wanted_since),
             control_budget.Purpose.QUESTION,
         )
 
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -54,6 +54,7 @@
         self._evacuations = evacuations.Evacuations()
         self._alerts = alert_logs.AlertLog()
         self._alerts_upto = 0
+        self._wants_all = False
         self._removals: collections.deque[records.Removal] = collections.deque(
             maxlen=REMOVALS_KEPT
         )
@@ -219,6 +220,13 @@
             return False
         if changes.configuration_change and not self.usable:
             return False
+        if self._misfits(changes.configuration_change):
+            # The sender has jumped over a version that is in force here, and
+            # can't tell what of it is gone; a dropped route would work on.
+            self._wants_all = True
+            return False
+        if not changes.since:
+            self._wants_all = False
         complete = changes.since == 0 and changes.upto >= self._revision
         fresh = self._apply_configuration(changes)
         for target in changes.targets:
@@ -240,6 +248,16 @@
             self._rebuild(now)
         return fresh
 
+    def _misfits(self, change: records.ConfigurationChange | None) -> bool:
+        if change is None or change.version <= self.version:
+            return False
+        return self._table.digest_with(change) != change.digest
+
+    @property
+    def wanted_since(self) -> int:
+        """Return the revision after which to ask for changes; 0 for all."""
+        return 0 if self._wants_all else self.content_revision
+
     def _apply_configuration(self, changes: records.Changes) -> bool:
         newest = changes.configuration or changes.configuration_change
         if newest is None:
@@ -299,12 +317,14 @@
         return bool(fresh)
 
     def _take_alert(self, alert: records.Alert, now: float) -> bool:
-        fresh = self._alerts.note(alert)
         removal = alert_logs.removal_of(alert)
+        if removal is not None:
+            known = self._alerts.revision_of(alert.kind, alert.subject)
+            self._remove(removal, now)
+            return known < alert.revision
+        fresh = self._alerts.note(alert)
         if alert.revision > self._revision:
-            if removal is not None:
-                self._remove(removal, now)
-            elif alert.kind == records.AlertKind.LEAVES:
+            if alert.kind == records.AlertKind.LEAVES:
                 self._note_leaving(alert)
             elif alert.kind == records.AlertKind.EVACUATED:
                 self._evacuations.apply(
@@ -367,10 +387,24 @@
 
     def _remove(self, removal: records.Removal, now: float) -> bool:
         known = self._entries.get(removal.identifier)
-        if known is None or known.revision >= removal.revision:
+        if known is None:
+            if removal.revision > self._revision:
+                # Others may know the entry, and ask here what they lack.
+                self._keep_removal(removal)
+            return False
+        if known.revision >= removal.revision:
             return False
         del self._entries[removal.identifier]
-        self._alerts.note(alert_logs.of_removal(removal))
+        self._keep_removal(removal)
+        self._vanished[known.run] = Vanished(
+            known, now, not removal.overwritten
+        )
+        return True
+
+    def _keep_removal(self, removal: records.Removal) -> None:
+        """Keep a removal for processes that lag, unless it is kept."""
+        if not self._alerts.note(alert_logs.of_removal(removal)):
+            return
         if len(self._removals) == REMOVALS_KEPT:
             # Alerts come out of order: the first is not always the oldest.
             self._removals_since = max(
@@ -378,10 +412,6 @@
             )
         self._removals.append(removal)
         self._note_revision(removal.revision)
-        self._vanished[known.run] = Vanished(
-            known, now, not removal.overwritten
-        )
-        return True
 
     def _is_no_news(
         self, known: records.Target, target: records.Target
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -100,6 +100,8 @@
     :ivar routes: routes that are new or have changed.
     :ivar dropped: addresses of routes that are gone.
     :ivar cold_limits: see :class:`Configuration`.
+    :ivar digest: of all routes that result; whoever gets another one has had
+        a version in between that the sender never saw, and needs all routes.
     """
 
     version: int
@@ -109,6 +111,7 @@
     routes: list[Route]
     dropped: list[bytes]
     cold_limits: tuple[ColdLimit, ...] = ()
+    digest: int = 0
 
 
 class Target(typing.NamedTuple):
--- a/packages/teaseldock/teaseldock/packets/route_table.py
+++ b/packages/teaseldock/teaseldock/packets/route_table.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import zlib
+
+import msgspec
+
 from teaseldock.packets import records
 
 #: Dropped routes remembered for processes that lag; whoever lags further gets
@@ -9,6 +13,12 @@
 DROPPED_KEPT = 4000
 
 
+def digest(routes: dict[bytes, records.Route]) -> int:
+    """Return a number that tells sets of routes apart."""
+    ordered = [routes[address] for address in sorted(routes)]
+    return zlib.crc32(msgspec.msgpack.encode(ordered))
+
+
 class RouteTable:
     """The newest configuration, and what has changed on the way to it."""
 
@@ -23,6 +33,7 @@
         # Routes dropped by a configuration that isn't here yet.
         self._withdrawn: dict[bytes, int] = {}
         self._just_dropped: list[bytes] = []
+        self._digest = 0
 
     @property
     def configuration(self) -> records.Configuration | None:
@@ -77,6 +88,7 @@
         }
         self._forget_dropped()
         self._routes = routes
+        self._digest = digest(routes)
         self._configuration = configuration
         return True
 
@@ -95,21 +107,30 @@
         """
         if self._configuration is None or change.version <= self.version:
             return False
-        routes = dict(self._routes)
-        for address in change.dropped:
-            routes.pop(address, None)
-        routes.update((route.address, route) for route in change.routes)
         return self.replace(
             records.Configuration(
                 change.version,
                 change.revision,
                 change.idle_timeout_ms,
-                list(routes.values()),
+                list(self._with(change).values()),
                 change.services,
                 change.cold_limits,
             )
         )
 
+    def _with(
+        self, change: records.ConfigurationChange
+    ) -> dict[bytes, records.Route]:
+        routes = dict(self._routes)
+        for address in change.dropped:
+            routes.pop(address, None)
+        routes.update((route.address, route) for route in change.routes)
+        return routes
+
+    def digest_with(self, change: records.ConfigurationChange) -> int:
+        """Return the digest of the routes that a change would lead to."""
+        return digest(self._with(change))
+
     def change_since(
         self, revision: int
     ) -> records.ConfigurationChange | None:
@@ -137,4 +158,5 @@
                 if dropped_at > revision
             ],
             newest.cold_limits,
+            self._digest,
         )
--- a/tests/packets/test_knowledge.py
+++ b/tests/packets/test_knowledge.py
@@ -273,3 +273,24 @@
 TestSpreading.settings = hypothesis.settings(
     max_examples=150, stateful_step_count=40
 )
+
+
+def test_a_removal_is_passed_on_by_who_never_knew_the_entry() -> None:
+    """A server that is gone stays in one process's table for good.
+
+    Symptom: new flows at an address whose server is gone, through a balancer
+    that claims to know everything.
+    Events: a registers at 6 and is gone at 8. One process hears of 6, another
+    goes from 5 to 8 at once; the first asks the second for what it lacks.
+    Cause: the second never knew a, and so kept nothing of its removal.
+    """
+    lagging, jumped = knowledge.Knowledge(), knowledge.Knowledge()
+    for known in (lagging, jumped):
+        known.apply(records.Changes(0, 5, [], [], config(1, 1)), 0.0)
+    lagging.apply(records.Changes(5, 6, [target('a', 6)], [], None), 1.0)
+    gone = records.Removal('a', 8)
+    jumped.apply(records.Changes(5, 8, [], [gone], None), 1.0)
+    alerts = jumped.alerts_after(lagging.alerts_upto)
+    assert [item.subject for item in alerts.items] == ['a']
+    lagging.apply(jumped.changes_since(lagging.content_revision), 2.0)
+    assert 'a' not in lagging.targets
--- a/tests/packets/test_route_table.py
+++ b/tests/packets/test_route_table.py
@@ -101,3 +101,28 @@
         table.replace(config(version, dict.fromkeys(ports, 1)))
         assert version < 10
     assert table.change_since(10 * version - 1) is not None
+
+
+@hypothesis.given(PORTS, PORTS, PORTS)
+def test_a_sender_that_jumped_over_a_version_misleads_nobody(
+    first: dict[int, int], second: dict[int, int], third: dict[int, int]
+) -> None:
+    """A route that is dropped works on at one process.
+
+    Symptom: requests over a route that no newer configuration has.
+    Events: one process goes from the first configuration to the third; it
+    tells one that has the second what has changed since.
+    Cause: what came with the second and went with the third is unknown to it.
+    """
+    sender, receiver = knowledge.Knowledge(), knowledge.Knowledge()
+    for known in (sender, receiver):
+        known.apply(changes(config(1, first)), 0.0)
+    receiver.apply(changes(config(2, second), 10), 1.0)
+    sender.apply(changes(config(3, third), 10), 1.0)
+    for _ in range(2):
+        since = receiver.wanted_since
+        receiver.apply(sender.changes_since(since), 2.0)
+    assert receiver.version == 3
+    for port in range(1, 7):
+        address = packet_world.route('dispatch', port=port).address
+        assert receiver.route(address) == sender.route(address)
