--- a/packages/teaseldock/teaseldock/packets/control_budget.py
+++ b/packages/teaseldock/teaseldock/packets/control_budget.py
@@ -84,10 +84,10 @@
 #: BURST_BYTES is for whoever comes first. Without them, heartbeats that greet
 #: hundreds of restarted processes left no byte for changes for ten seconds,
 #: and new flows reached servers that had said that they leave. Half of the
-#: bytes are left: heartbeats take 1.3 to 3.1 KB/s of them, and the questions of
 #: bytes are left: heartbeats take 1.3 to 3.1 KB/s of them, and the questions
 #: of 50 new flows a second at a balancer 3.1. With a fifth left, one flow in
 #: eight was placed without asking.
+SHARES: dict[Purpose, Share] = {
     Purpose.QUESTION: Share(500.0, 4000.0),
     Purpose.CHANGES: Share(2000.0, 8000.0),
     Purpose.ALERT: Share(2000.0, 6000.0),
