Take alerts only from processes that were asked

Cause, found in reading: alerts were taken from anybody while a question waited, where changes are taken only from those asked. Measured: the test failed before; tests of alerts, freshness, evacuation pass.

--- a/packages/teaseldock/teaseldock/packets/exchanging.py
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from teaseldock import budget
@@ -61,6 +62,9 @@
         self._take_alerts = take_alerts
         self._random = randomness
         self._alerts_asked_at: float | None = None
+        self._alerts_asked: collections.deque[str] = collections.deque(
+            maxlen=pulling.EXPECTED_FROM
+        )
         self._meters = meters
         self._pulling = pulling.Pulling(randomness)
         self._referrals = budget.Budget(
@@ -92,6 +96,7 @@
                 return
             source = self._random.choice(ahead).host
         self._alerts_asked_at = now
+        self._alerts_asked.append(source)
         self._meters.counters['alerts_wanted'] += 1
         self._send(
             source,
@@ -119,7 +124,7 @@
 
     def on_alerts(self, body: bytes, host: str, now: float) -> None:
         """Take alerts that were asked for."""
-        if self._alerts_asked_at is None:
+        if host not in self._alerts_asked:
             self._meters.counters['dropped_alerts_of_stranger'] += 1
             return
         before = self._knowledge.alerts_upto
--- a/tests/packets/test_alerts.py
+++ b/tests/packets/test_alerts.py
@@ -154,6 +154,25 @@
         control.read_alerts(control.unpack(packed).body)
 
 
+def test_alerts_of_strangers_are_not_taken() -> None:
+    """Alerts that nobody asked for change nothing, and are counted.
+
+    Symptom: no server gets new flows, since a confused process told everybody
+    that all of them leave.
+    Cause: alerts were taken from any process while a question waited.
+    """
+    world = packet_world.small_world()
+    process = world.balancers()[0]
+    name = next(iter(process.node.knowledge.targets))
+    made_up = alerts_of(0, 10_000, (LEAVES, name, 10_000))
+    process.node._exchange._alerts_asked_at = world.now
+    process.node.on_datagram(
+        control.pack_alerts(made_up), '10.0.9.9', world.now
+    )
+    assert not process.node.knowledge.targets[name].draining
+    assert process.node.meters.counters['dropped_alerts_of_stranger']
+
+
 NAMES = strategies.sampled_from(['a', 'b', 'c'])
 STEPS = strategies.lists(
     strategies.tuples(
