--- a/tests/packets/test_inquiry.py
+++ b/tests/packets/test_inquiry.py
@@ -102,7 +102,7 @@
     """Without bytes for questions, flows are placed by what is known."""
     world = packet_world.small_world(servers=6)
     for process in world.balancers():
-        process.node.budget.spend(control_budget.Purpose.CHANGES, 10**6)
+        process.node.budget.spend(control_budget.Purpose.QUESTION, 10**6)
     orders = [world.request(tries=1) for _ in range(20)]
     world.run(1.0)
     assert all(item.outcome == 'answered' for item in orders)
