Count questions for everything; drop a property that nobody reads

A property of Freshness that nothing read is gone, and a comment named the wrong method. Measured: tests of pulling, route table, knowledge and freshness pass; no decision changes.

--- a/packages/teaseldock/teaseldock/packets/exchanging.py
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -135,10 +135,13 @@
 
     def _want(self, host: str, now: float) -> None:
         self._pulling.asked(host, now)
+        since = self._knowledge.wanted_since
         self._meters.counters['changes_wanted'] += 1
+        if self._knowledge.usable and not since:
+            self._meters.counters['changes_wanted_whole'] += 1
         self._send(
             host,
-            control.pack_want(self._knowledge.wanted_since),
+            control.pack_want(since),
             control_budget.Purpose.QUESTION,
         )
 
--- a/packages/teaseldock/teaseldock/packets/freshness.py
+++ b/packages/teaseldock/teaseldock/packets/freshness.py
@@ -35,11 +35,6 @@
         self._started = now
         self._old = False
 
-    @property
-    def known_at(self) -> float | None:
-        """Return until when all alerts are known, None at first."""
-        return self._known_at
-
     def age_s(self, now: float) -> float:
         """Return the greatest age of an alert that isn't known here."""
         since = self._started if self._known_at is None else self._known_at
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -304,7 +304,7 @@
         """Take over alerts, though other changes before them are missing.
 
         Those come later, with entries as they were before; what an alert said
-        of them holds on (see :meth:`_put`).
+        of them holds on (see :meth:`_as_alerted`).
 
         :raises ValueError: if the subject of an alert can't be read.
         """
