Tell who reads the store, why, and how old its proof was

Cause: the logs of the record could not tell a process that waited for its turn to read from one that read in vain; nothing said who reads. Now a line at each begin and end with the reason, the rank, the age of what is proven here and of the newest answer heard of, and counters by reason. Nothing is decided differently.

--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -98,6 +98,7 @@
             randomness=randomness,
         )
         self._reading = reading.Reading(randomness)
+        self._reads_because: readers.Why | None = None
         self._leaving = False
         self._started = int(now * 1000)
         self._last_tick = now
@@ -228,15 +229,22 @@
         self._tell(self._mesh.due(now, everybody=False), now)
 
     def reads(self, now: float) -> bool:
-        """Tell whether this process should read the store for others."""
+        """Tell whether this process should read the store."""
+        return self._why_read(now) is not None
+
+    def _why_read(self, now: float) -> readers.Why | None:
         behind = self._mesh.newest_alert > self._knowledge.alerts_upto
-        return self._readers.reads(now, leaving=self._leaving, behind=behind)
+        return self._readers.why_read(
+            now, leaving=self._leaving, behind=behind
+        )
 
     def read_if_due(self, now: float) -> None:
         """Call the store if this process should and no call is under way."""
         if self._reading.calling:
             return
-        if not self.reads(now):
+        why = self._why_read(now)
+        self._note_reading(why, now)
+        if why is None:
             return
         step = self._reading.next_step(self._knowledge.revision, now)
         if step is None:
@@ -247,6 +255,23 @@
         else:
             self._outlet.watch(self._knowledge.revision)
 
+    def _note_reading(self, why: readers.Why | None, now: float) -> None:
+        if why is self._reads_because:
+            return
+        self._reads_because = why
+        if why is not None:
+            self._meters.counters[f'reads_{why.name.lower()}'] += 1
+        self._reporter.note(
+            'leaves store to others' if why is None else 'reads store',
+            why=why and why.value,
+            rank=self._readers.rank,
+            proof_age_s=round(self._freshness.age_s(now), 2),
+            confirmed_ms=self._store.confirmed_ms(now),
+            alerts_upto=self._knowledge.alerts_upto,
+            newest_heard=self._mesh.newest_alert,
+            **self._flow_inputs,
+        )
+
     def store_answered(self, changes: records.Changes, now: float) -> None:
         """Take the answer of a call to the store."""
         if self._store.answered(now):
--- a/packages/teaseldock/teaseldock/packets/readers.py
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 
 from teaseldock.packets import mesh
@@ -41,6 +42,15 @@
 COLD_SPREAD_S = 0.5
 
 
+class Why(enum.Enum):
+    """Why a process reads the store."""
+
+    COLD_START = 'nobody has read yet'
+    FIRST_IN_RANK = 'first in rank'
+    NOT_TOLD = 'others know more and do not tell'
+    NOBODY_READS = 'nobody had an answer for long'
+
+
 class Readers:
     """Who reads, as one process sees it."""
 
@@ -70,8 +80,15 @@
         self._rank = 0
         self._ranked_at: tuple[float, bool] | None = None
 
-    def reads(self, now: float, *, leaving: bool, behind: bool) -> bool:
-        """Tell whether this process should read the store now.
+    @property
+    def rank(self) -> int:
+        """Return how many processes came before this one, when reckoned."""
+        return self._rank
+
+    def why_read(
+        self, now: float, *, leaving: bool, behind: bool
+    ) -> Why | None:
+        """Return why this process should read the store now, or None.
 
         The living balancers first in rank do, those on wide links before
         the others. Whoever hears that nobody had an answer for long reads
@@ -84,18 +101,21 @@
         """
         age_s = self._age_s(now, behind=behind)
         if self._starts_cold(now):
-            return True
+            return Why.COLD_START
         if not self._is_balancer and age_s <= TAKEOVER_S:
-            return False
+            return None
         rank = self._rank_among(now, leaving=leaving)
         if self._is_balancer and rank < READERS:
-            return now - self._started > START_WAIT_S
+            ready = now - self._started > START_WAIT_S
+            return Why.FIRST_IN_RANK if ready else None
         wait_s = TAKEOVER_S + TAKEOVER_STEP_S * rank
         if len(self._mesh.balancers()) > mesh.FAN_OUT:
             wait_s += RELAY_ROUNDS * mesh.ROUND_S
         if not self._is_balancer:
             wait_s += AGENT_SPREAD_S * self._own_rank[0] / 255
-        return age_s > wait_s
+        if age_s <= wait_s:
+            return None
+        return Why.NOT_TOLD if behind else Why.NOBODY_READS
 
     def _age_s(self, now: float, *, behind: bool) -> float:
         """Return the age of what is known, by the store's last answer.
