Date the proof of a whole read by its beginning

Cause, found in reading: a read of the whole store counted as proof of all alerts up to its last page, though it covers only what the first page does; on a link of 2 Mbit/s a thousand routes take over a second, and the age that is told others was too young by that. Virtual time, a store that takes 0.5 s: age at the end 0.0 s before, 0.5 now. Left: a watch with a large answer is still dated by its end.

--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -99,6 +99,7 @@
         )
         self._reading = reading.Reading(randomness)
         self._reads_because: readers.Why | None = None
+        self._called_at = now
         self._leaving = False
         self._started = int(now * 1000)
         self._last_tick = now
@@ -247,6 +248,7 @@
         if step is None:
             return
         self._meters.counters['store_calls'] += 1
+        self._called_at = now
         if step is reading.Step.READ_ALL:
             self._outlet.read_all()
         else:
@@ -303,7 +305,10 @@
         fresh = self._knowledge.apply(changes, now)
         # Before others are notified: they take the proof along.
         if source == SOURCE_STORE:
-            self._freshness.answered(now)
+            # A whole read covers what its first page does, not what came
+            # while the others were on their way.
+            whole = not changes.since
+            self._freshness.answered(self._called_at if whole else now)
         self._freshness.caught_up(self._knowledge.alerts_upto)
         if not fresh:
             return False
--- a/tests/packets/test_freshness.py
+++ b/tests/packets/test_freshness.py
@@ -77,6 +77,24 @@
     assert world.processes[server.host].node.alerts_age_s < 1.0
 
 
+def test_a_whole_read_proves_nothing_later_than_its_beginning() -> None:
+    """A read of many pages is older than its last page.
+
+    Symptom: a process counts alerts as known that came while it read, on a
+    link where the whole takes more than a second.
+    Cause: the proof was dated at the end; what is known is what the first page
+    covers.
+    """
+    world = packet_world.small_world(balancers=2, servers=2)
+    world.store.delay_s = 0.5
+    for host in list(world.processes):
+        world.kill(host)
+    process = world.start('10.0.0.1')
+    while not process.node.knowledge.usable:
+        world.run(0.01)
+    assert process.node.alerts_age_s >= 0.4
+
+
 def test_an_age_never_gets_younger_on_its_way() -> None:
     """Two processes that only hear each other get older together."""
     one, two = freshness.Freshness(100.0), freshness.Freshness(100.0)
