Leave it to four processes to try a store that is away

Cause: whoever failed no longer came before others in rank, so that all called a store that turned everybody away, and again each 0.8 s; calls grew with the fleet and were all there when it came back. Ruled out: that the return is noticed later (an alert of that moment known at the agent within 1.6 s, tested).

--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -292,7 +292,8 @@
             self._reporter.note(
                 'store lost', problem=problem, **self._flow_inputs
             )
-        self._reading.failed(now)
+        probes = self._readers.probes(now, leaving=self._leaving)
+        self._reading.failed(now, probes=probes)
 
     def entry_refused(self, problem: str) -> None:
         """Note an entry of the store that could not be read."""
--- a/packages/teaseldock/teaseldock/packets/readers.py
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -21,6 +21,9 @@
 #: Processes that read the store at a time. Two, so that the death of one
 #: delays nothing; each costs one call a change and one a WATCH_S.
 READERS = 2
+#: Processes that go on trying often while the store answers nobody: those
+#: first in rank, whether their calls fail or not.
+PROBERS = 4
 #: Age of the newest confirmation by the store, seconds, beyond which others
 #: begin to read too: a watch is answered each 1.5 s at the latest, so an age
 #: of 2 s means that both readers are gone. With the 0.3 s that a read takes on
@@ -87,6 +90,7 @@
         self._own_rank = peers.reader_rank(host)
         self._started = now
         self._rank = 0
+        self._rank_of_all = 0
         self._ranked_at: tuple[float, bool] | None = None
         self._old_since: float | None = None
 
@@ -163,10 +167,16 @@
         wait_s = START_WAIT_S + COLD_SPREAD_S * self._own_rank[0] / 255
         return now - self._started > wait_s
 
+    def probes(self, now: float, *, leaving: bool) -> bool:
+        """Tell whether this process goes on calling a store that is away."""
+        self._rank_among(now, leaving=leaving)
+        return self._rank_of_all < PROBERS
+
     def _rank_among(self, now: float, *, leaving: bool) -> int:
         """Return how many living balancers come before this process.
 
-        It is reckoned anew a few times a second only: ticks ask for it.
+        Those whose calls to the store fail don't count. It is reckoned anew a
+        few times a second only: ticks ask for it.
         """
         if self._ranked_at is not None:
             at, as_leaving = self._ranked_at
@@ -174,9 +184,13 @@
                 return self._rank
         own = (not self._is_balancer, leaving, self._slim, self._own_rank)
         self._ranked_at = (now, leaving)
-        self._rank = sum(
-            (False, peer.leaving(now), peer.heartbeat.slim, peer.rank) < own
+        before = [
+            peer.heartbeat
             for peer in self._mesh.living_balancers(now)
-            if peer.heartbeat and not peer.heartbeat.store_failing
-        )
+            if peer.heartbeat
+            and (False, peer.leaving(now), peer.heartbeat.slim, peer.rank)
+            < own
+        ]
+        self._rank_of_all = len(before)
+        self._rank = sum(not heard.store_failing for heard in before)
         return self._rank
--- a/tests/packets/test_readers.py
+++ b/tests/packets/test_readers.py
@@ -7,6 +7,7 @@
 from bench import packet_world
 from teaseldock.packets import peer
 from teaseldock.packets import readers
+from teaseldock.packets import reading
 
 
 def test_a_line_tells_who_reads_the_store_and_why() -> None:
@@ -188,3 +189,30 @@
     host = sorted(world.servers)[0]
     process = world.processes[host]
     assert _seconds_until_known(world, process, host) <= KNOWN_AMONG_FEW_S
+
+
+@pytest.mark.parametrize(('balancers', 'servers'), [(8, 18), (20, 53)])
+def test_a_store_that_is_away_is_left_alone_by_most(
+    balancers: int, servers: int
+) -> None:
+    """Calls to a store that answers nobody grow with the fleet.
+
+    Symptom: refused calls that are paid for, and a store that has hardly come
+    back when thousands of processes call it.
+    Events: the store turns everybody away for eight seconds, then returns.
+    Cause: whoever had failed no longer came before others, so that everybody
+    tried, and tried again each 0.8 s. Evidence: 260 calls of 26 processes in
+    eight seconds, 1,397 of 195.
+    """
+    world = packet_world.small_world(balancers=balancers, servers=servers)
+    world.store.up = False
+    world.store._wake()
+    world.run(3.0)
+    before = world.store.calls
+    world.run(5.0)
+    per_s = (world.store.calls - before) / 5.0
+    assert per_s < len(world.processes) / 2
+    world.store.up = True
+    host = sorted(world.servers)[0]
+    seconds = _seconds_until_known(world, world.processes[host], host)
+    assert seconds < 2 * reading.LONGEST_RETRY_S
