Excuse an order whose consent was on its way when its instance died

Whoever consented can't take that back and can't know whether it arrived, so that "outcome unknown" is the only true answer: the case is allowed.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -243,7 +243,11 @@
         self.world.leave(self.names[number - 1])
 
     def _excuse(self, name: str) -> None:
-        """Leave out what dies with a holder, or runs at it."""
+        """Leave out what dies with a holder, or runs at it.
+
+        So does what may run at it: a consent that is on its way to an
+        instance when that dies can't be taken back.
+        """
         node = self.world.processes[name].node
         for item in node.targets:
             self.excused_flows.update(item.holder.flows)
@@ -251,6 +255,10 @@
         for item in self.world.ran:
             if item.instance == name and item.identity not in answered:
                 self.excused.add(item.identity)
+        drive = self.world
+        self.excused |= drive.consents.on_the_way(
+            name, drive.now, hop_s=drive.shape.hop_s
+        )
 
     def _on_crash(self, number: int) -> None:
         name = self.names[number - 1]
--- a/bench/world.py
+++ b/bench/world.py
@@ -12,6 +12,7 @@
 import random
 import typing
 
+from bench import consents
 from bench import fake_codec
 from bench import fakes
 from bench import shapes
@@ -85,6 +86,7 @@
         self.loss = 0.0
         self.duplicate = 0.0
         self.reads = 0
+        self.consents = consents.ConsentLog()
         self.on_answer: typing.Callable | None = None
         self._events: list[tuple[float, int, typing.Callable, tuple]] = []
         self._sequence = 0
@@ -381,6 +383,7 @@
         receiver = self._addresses.get((action.host, action.port))
         if receiver is None or not self._reaches(name, receiver):
             return
+        self.consents.note(name, receiver, message, self.now)
         self._hop(
             self.shape.hop_s,
             self._deliver,
