Move what the soak says in the platform's words into platform/

Now platform/standin_platform has the store and its documents, soak/ has the faults, and the test that holds the words to platform/ looks at soak, bench, standins, tools and examples too (it looked at packages only). Not shipped: deploy/build.py copies teaseldock_platform alone.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,32 +8,13 @@
 import time
 import typing
 
+from standin_platform import documents
+
 if typing.TYPE_CHECKING:
     from soak import world
 
 #: Seconds between two faults.
 _GAP_S = (0.2, 1.5)
-_GOOD_ENTRY = {
-    'service': 'dispatch',
-    'address': '127.0.0.1:9',
-    'zone': 'dc-0',
-    'version': 'v1',
-    'capacity': 2,
-    'state': 'ready',
-    'warmupLeftMs': 0,
-    'sequence': 1,
-}
-#: What other writers leave: no address there ever answers.
-_ODD_ENTRIES: tuple[typing.Any, ...] = (
-    None,
-    'text',
-    {},
-    {**_GOOD_ENTRY, 'state': 'elsewhere'},
-    {**_GOOD_ENTRY, 'service': 'elsewhere'},
-    {**_GOOD_ENTRY, 'capacity': '2'},
-    {**_GOOD_ENTRY, 'born': 1.5},
-    {name: _GOOD_ENTRY[name] for name in ('service', 'address')},
-)
 
 
 class Faults:
@@ -133,9 +114,10 @@
     async def _foreign_entry(self) -> None:
         """Leave what names no target, beside a server's entry or over it."""
         server = self._random.choice(self._world.servers)
-        odd = self._random.choice(_ODD_ENTRIES)
+        odd = self._random.choice(documents.ODD_ENTRIES)
         if self._random.random() < 0.5 or not server.up:
-            self._world.store.put(f'servers/odd-{len(self.done)}', odd)
+            key = documents.server_key(f'odd-{len(self.done)}')
+            self._world.store.put(key, odd)
             return
         self._world.store.put(server.key, odd)
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 import time
 
 from soak import network
+from teaseldock_platform import settings
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 #: Most processes of one soak: "a few hundred" is the machine's limit.
@@ -76,7 +77,7 @@
         self.note_end()
         self.disturbed_at = time.monotonic()
         environment = {
-            'TEASELDOCK_BOOT': str(self.settings_path),
+            settings.PATH_VARIABLE: str(self.settings_path),
             'PATH': os.environ['PATH'],
         }
         with self.log_path.open('ab') as log:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -9,9 +9,10 @@
 import typing
 
 from soak import network
+from standin_platform import documents
 
 if typing.TYPE_CHECKING:
-    from soak import store
+    from standin_platform import store
 
 #: First byte of a request that must run once at most.
 GUARDED = b'G'
@@ -80,7 +81,7 @@
     @property
     def key(self) -> str:
         """Return the key of its entry."""
-        return f'servers/i-{self.number}-{self._name}'
+        return documents.server_key(f'i-{self.number}-{self._name}')
 
     @property
     def data_centre(self) -> str:
@@ -112,27 +113,21 @@
 
     def register(self) -> None:
         """Write the entry of a server that serves."""
-        self._register('ready')
-
-    def _register(self, state: str) -> float:
-        return self._registry.put(
-            self.key,
-            {
-                'service': self.service,
-                'address': f'{self.host}:{network.SERVER_PORT}',
-                'zone': self.data_centre,
-                'version': 'v1',
-                'capacity': 2,
-                'state': state,
-                'warmupLeftMs': 0,
-                'sequence': 1,
-                'born': _FIRST_BORN + self._run,
-            },
+        self._register(leaving=False)
+
+    def _register(self, *, leaving: bool) -> float:
+        entry = documents.server_entry(
+            service=self.service,
+            address=f'{self.host}:{network.SERVER_PORT}',
+            data_centre=self.data_centre,
+            leaving=leaving,
+            born_ms=_FIRST_BORN + self._run,
         )
+        return self._registry.put(self.key, entry)
 
     def drain(self) -> None:
         """Announce that it leaves."""
-        self.draining_since = self._register('draining')
+        self.draining_since = self._register(leaving=True)
 
     def crash(self, *, forget: bool) -> None:
         """Lose everything.
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,8 +11,10 @@
 from soak import faults
 from soak import fleet
 from soak import network
+from soak import proxy
 from soak import servers
-from soak import store
+from standin_platform import documents
+from standin_platform import store
 
 #: Ports of routes that stay, by service; and where added routes begin.
 PORTS = {'dispatch': 443, 'tickets': 444}
@@ -52,7 +54,7 @@
         self._idle_routes = 0
         address = (network.host(4, 1), network.CONTROL_PORT)
         self._store_address = address
-        self.proxies = [store.Proxy(address), store.Proxy(address)]
+        self.proxies = [proxy.Proxy(address), proxy.Proxy(address)]
         self.programs = [
             fleet.Program('balancer', number + 1, folder, service='')
             for number in range(balancers)
@@ -93,21 +95,17 @@
         live = [p for p in extra if self.routes[p][-1][1]]
         dropped = live[:1] if len(live) >= 3 else []
         ports = [p for p in live if p not in dropped] + [port]
+        routes = [
+            *(documents.route(name, number) for name, number in PORTS.items()),
+            *(documents.route('dispatch', number) for number in ports),
+            *(
+                documents.route('dispatch', _IDLE_PORT + number)
+                for number in range(self._idle_routes)
+            ),
+        ]
         at = self.store.put(
-            'op/config',
-            {
-                'version': self._version,
-                'routes': [
-                    self._route(service, number)
-                    for service, number in PORTS.items()
-                ]
-                + [self._route('dispatch', number) for number in ports]
-                + [
-                    self._route('dispatch', _IDLE_PORT + number)
-                    for number in range(self._idle_routes)
-                ],
-                'limits': {'idleTimeoutMs': 15000},
-            },
+            documents.CONFIGURATION_KEY,
+            documents.configuration(self._version, routes),
         )
         self.routes.setdefault(port, []).append((at, True))
         for number in dropped:
@@ -120,7 +118,7 @@
 
     def evacuate(self, data_centre: str, *, active: bool) -> None:
         """Request that a data centre gets no new flows, or take it back."""
-        key = f'op/evacuate/{data_centre}'
+        key = documents.evacuation_key(data_centre)
         at = time.monotonic()
         if active:
             at = self.store.put(key, {})
@@ -130,24 +128,11 @@
         if not states or states[-1][1] is not active:
             states.append((at, active))
 
-    @staticmethod
-    def _route(service: str, port: int) -> dict:
-        return {
-            'name': f'r-{port}',
-            'host': '198.18.0.1',
-            'prefix': f'/{port}/',
-            'kind': 'idempotent',
-            'timeoutMs': 3000,
-            'sloMs': 200,
-            'priority': 1,
-            'service': service,
-        }
-
     async def run(self) -> None:
         """Play the soak."""
         self.store.start(self._store_address)
-        for number, proxy in enumerate(self.proxies):
-            await proxy.start((network.host(4, 2 + number), 18000))
+        for number, item in enumerate(self.proxies):
+            await item.start((network.host(4, 2 + number), 18000))
         self.configure()
         for server in self.servers:
             await server.start()
@@ -188,8 +173,8 @@
         for server in self.servers:
             if server.up:
                 server.crash(forget=False)
-        for proxy in self.proxies:
-            proxy.close()
+        for item in self.proxies:
+            item.close()
         self.store.close()
 
     async def _keep_running(self) -> None:
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -78,8 +78,15 @@
 
 def test_only_the_translation_knows_the_platform() -> None:
     """Decisions and edges use the product's names."""
-    root = LIBRARY.parent.parent
-    for path in sorted(root.rglob('*.py')):
+    root = root_of_repository()
+    folders = ('packages', 'soak', 'bench', 'standins', 'tools', 'examples')
+    paths = [
+        path
+        for folder in folders
+        for path in sorted((root / folder).rglob('*.py'))
+    ]
+    assert len(paths) > len(folders)
+    for path in paths:
         text = path.read_text()
         for word in PLATFORM_WORDS:
             assert word not in text, f'{path} says {word}'
