--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -12,6 +12,7 @@
 from teaseldock import guard
 from teaseldock import load
 from teaseldock import messages
+from teaseldock import pending as pendings
 from teaseldock import placement
 
 if typing.TYPE_CHECKING:
@@ -32,54 +33,6 @@
 DEFAULT_WEIGHT = 1.0
 
 
-class Pending:
-    """A request on its way to a final answer.
-
-    :ivar key: of its exchange.
-    :ivar runner: instance that it was given to.
-    :ivar tried: instances that refused it.
-    :ivar may_have_run: whether a server was given it and didn't answer.
-    :ivar consented: whether the instance that has it may have started it.
-    """
-
-    __slots__ = (
-        'key',
-        'exchange',
-        'request',
-        'weight',
-        'deadline',
-        'runner',
-        'incarnation',
-        'tried',
-        'began_at',
-        'repeat_at',
-        'may_have_run',
-        'consented',
-    )
-
-    def __init__(
-        self,
-        key: bytes,
-        exchange: exchanges.Exchange,
-        request: base.Request,
-        weight: float,
-        now: float,
-    ) -> None:
-        """Begin with nobody running it."""
-        self.key = key
-        self.exchange = exchange
-        self.request = request
-        self.weight = weight
-        self.deadline = now + (request.deadline_s or math.inf)
-        self.runner = ''
-        self.incarnation = 0
-        self.tried: set[str] = set()
-        self.began_at = now
-        self.repeat_at = math.inf
-        self.may_have_run = False
-        self.consented = True
-
-
 class Coordinator:
     """Place, hand on, repeat and answer requests.
 
@@ -109,7 +62,7 @@
         self._own_load = own_load
         self._refuse = refuse
         self._exchanges = exchanges.ExchangeTable()
-        self._pending: dict[int, Pending] = {}
+        self._pending: dict[int, pendings.Pending] = {}
         self._open_flows: collections.Counter[bytes] = collections.Counter()
         self._weights: dict[tuple[str, str], float] = {}
         self._guard = guard.Guard(shared, service, self._exchanges)
@@ -193,7 +146,7 @@
         exchange = exchanges.Exchange(flow, request.body, now, guarded=guarded)
         self._exchanges.begin(key, exchange)
         weight = self.weight_of(request)
-        pending = Pending(key, exchange, request, weight, now)
+        pending = pendings.Pending(key, exchange, request, weight, now)
         self._open_flows[flow] += 1
         self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
         self._shared.counters['requests'] += 1
@@ -202,7 +155,9 @@
     def _stays(self, request: base.Request) -> bool:
         return request.pinned or request.observe is not None
 
-    def _place(self, pending: Pending, now: float) -> list[messages.Action]:
+    def _place(
+        self, pending: pendings.Pending, now: float
+    ) -> list[messages.Action]:
         """Give a request to the best target that has not refused it."""
         actions: list[messages.Action] = []
         while len(pending.tried) < ATTEMPTS:
@@ -234,7 +189,7 @@
             pending.tried.add(name)
         return actions + self._refuse_not_run(pending, now)
 
-    def _choose(self, pending: Pending, now: float) -> str | None:
+    def _choose(self, pending: pendings.Pending, now: float) -> str | None:
         own = self._own_load(now)
         own_name = self._shared.name
         if self._stays(pending.request):
@@ -255,7 +210,7 @@
         )
 
     def _hand_on(
-        self, pending: Pending, call: int, name: str, now: float
+        self, pending: pendings.Pending, call: int, name: str, now: float
     ) -> list[messages.Action]:
         pending.runner = name
         pending.incarnation = self._shared.view.incarnation(name)
@@ -267,7 +222,7 @@
         return self._send_execute(pending, call, now)
 
     def _send_execute(
-        self, pending: Pending, call: int, now: float
+        self, pending: pendings.Pending, call: int, now: float
     ) -> list[messages.Action]:
         left_ms = 0
         if pending.deadline != math.inf:
@@ -352,7 +307,9 @@
             return []
         return self._refuse_not_run(pending, now)
 
-    def _answer(self, pending: Pending, body: bytes) -> list[messages.Action]:
+    def _answer(
+        self, pending: pendings.Pending, body: bytes
+    ) -> list[messages.Action]:
         answer = self._shared.codec.answer(
             pending.request, body, sequence=None
         )
@@ -368,7 +325,7 @@
         return self._settle(pending, answer)
 
     def _settle(
-        self, pending: Pending, answer: bytes
+        self, pending: pendings.Pending, answer: bytes
     ) -> list[messages.Action]:
         """Send the final answer and keep it for repeats."""
         self._close(pending)
@@ -376,13 +333,15 @@
         self._exchanges.answered(pending.exchange, answer)
         return [messages.ToCaller(pending.exchange.flow, answer)]
 
-    def _close(self, pending: Pending) -> None:
+    def _close(self, pending: pendings.Pending) -> None:
         flow = pending.exchange.flow
         self._open_flows[flow] -= 1
         if self._open_flows[flow] <= 0:
             del self._open_flows[flow]
 
-    def _lost(self, pending: Pending, now: float) -> list[messages.Action]:
+    def _lost(
+        self, pending: pendings.Pending, now: float
+    ) -> list[messages.Action]:
         """Handle a request without an answer, which may have run."""
         if not pending.consented:
             pending.tried.add(pending.runner)
@@ -401,7 +360,7 @@
         return [messages.ToCaller(pending.exchange.flow, answer)]
 
     def _refuse_not_run(
-        self, pending: Pending, now: float
+        self, pending: pendings.Pending, now: float
     ) -> list[messages.Action]:
         # An idempotent request that was retried may have run before; then
         # "not run" would be untrue. Only the outcome is unknown.
@@ -442,7 +401,7 @@
         return actions
 
     def _watch(
-        self, call: int, pending: Pending, now: float
+        self, call: int, pending: pendings.Pending, now: float
     ) -> list[messages.Action]:
         current = self._shared.view
         reborn = current.incarnation(pending.runner) != pending.incarnation
@@ -466,33 +425,3 @@
             del self._pending[call]
             self._close(pending)
             self._exchanges.abandon(pending.key)
-
-    def export_results(
-        self, flow: bytes, *, since: float
-    ) -> list[messages.Result]:
-        """Return answers that a caller may still ask for, oldest first.
-
-        :param since: exchanges that began earlier are left out.
-        """
-        return [
-            messages.Result(item.request, item.answer)
-            for item in self._exchanges.of_flow(flow)
-            if item.answer is not None
-            and item.guarded
-            and item.began_at >= since
-        ]
-
-    def import_results(
-        self, flow: bytes, results: list[messages.Result], now: float
-    ) -> None:
-        """Take over answers from the flow's former holder."""
-        for result in results:
-            request = self._shared.codec.read_caller(result.request)
-            key = flow + request.exchange
-            if self._exchanges.get(key) is not None:
-                continue
-            exchange = exchanges.Exchange(
-                flow, result.request, now, guarded=True
-            )
-            self._exchanges.begin(key, exchange)
-            self._exchanges.answered(exchange, result.answer)
--- a/packages/teaseldock/teaseldock/drain.py
+++ b/packages/teaseldock/teaseldock/drain.py
@@ -193,7 +193,8 @@
         chosen: list[messages.Result] = []
         room = RESULT_BYTES
         since = now - RESULT_AGE_S
-        results = self._holder.coordinator.export_results(flow, since=since)
+        known = self._holder.coordinator.exchanges
+        results = known.results(flow, since=since)
         for item in reversed(results):
             room -= len(item.request) + len(item.answer)
             if room < 0:
--- a/packages/teaseldock/teaseldock/exchanges.py
+++ b/packages/teaseldock/teaseldock/exchanges.py
@@ -6,6 +6,10 @@
 import typing
 
 from teaseldock import challenge
+from teaseldock import messages
+
+if typing.TYPE_CHECKING:
+    from teaseldock.codecs import base
 
 #: Bytes of answers kept for repeats; beyond it the oldest lose their text.
 ANSWER_BYTES = 8_000_000
@@ -147,3 +151,34 @@
             if self._nonces[nonce].used_at > oldest - EXCHANGE_LIFETIME_S:
                 break
             del self._nonces[nonce]
+
+    def results(self, flow: bytes, *, since: float) -> list[messages.Result]:
+        """Return answers that a caller may still ask for, oldest first.
+
+        :param since: exchanges that began earlier are left out.
+        """
+        return [
+            messages.Result(item.request, item.answer)
+            for item in self.of_flow(flow)
+            if item.answer is not None
+            and item.guarded
+            and item.began_at >= since
+        ]
+
+    def take_results(
+        self,
+        flow: bytes,
+        results: list[messages.Result],
+        now: float,
+        *,
+        codec: base.Codec,
+    ) -> None:
+        """Take over answers from the flow's former holder."""
+        for result in results:
+            request = codec.read_caller(result.request)
+            key = flow + request.exchange
+            if self.get(key) is not None:
+                continue
+            exchange = Exchange(flow, result.request, now, guarded=True)
+            self.begin(key, exchange)
+            self.answered(exchange, result.answer)
--- a/packages/teaseldock/teaseldock/target.py
+++ b/packages/teaseldock/teaseldock/target.py
@@ -235,8 +235,9 @@
         self._holder.prove(message.flow)
         self._owner.forget(message.flow)
         self._announcer.taken_over(message.flow)
-        coordinator = self._holder.coordinator
-        coordinator.import_results(message.flow, message.results, now)
+        self._holder.coordinator.exchanges.take_results(
+            message.flow, message.results, now, codec=self._shared.codec
+        )
         actions: list[messages.Action] = []
         for feed in message.feeds:
             actions += self._holder.resume_feed(message.flow, feed, now)
