--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 
 from bench import baselines
 from bench import bounds
+from bench import imbalance
 from bench import path
 from bench import scenarios
 from bench import shapes
@@ -69,8 +70,8 @@
         'scenario': scenario,
         'policy': policy,
         'seed_count': len(results),
-        'imbalance_p50': round(scenarios.percentile(ratios, 0.5), 4),
-        'imbalance_p99': round(scenarios.percentile(ratios, 0.99), 4),
+        'imbalance_p50': round(imbalance.percentile(ratios, 0.5), 4),
+        'imbalance_p99': round(imbalance.percentile(ratios, 0.99), 4),
         'imbalance_p99_spread': [
             round(min(spread), 4),
             round(statistics.median(spread), 4),
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -14,6 +14,7 @@
 import typing
 
 from bench import fakes
+from bench import imbalance
 from bench import scenarios
 from bench import shapes
 from teaseldock import table
@@ -154,7 +155,7 @@
         self.reported = dict.fromkeys(self.names, 0)
         self.lying: set[str] = set()
         self.known_out = [set() for _ in range(BALANCERS)]
-        self.disabled = scenarios.Disabled()
+        self.disabled = imbalance.Disabled()
         self.capacity = count * shape.slots / scenario.service_s
         self.now = 0.0
         self.ran: list[fakes.Ran] = []
@@ -343,7 +344,12 @@
         self.lying = {self.names[n - 1] for n in numbers}
 
     def _measure(self) -> dict[str, typing.Any]:
-        ratios = scenarios.window_ratios(self.ran, self.names, self.disabled)
+        ratios = imbalance.window_ratios(
+            self.ran,
+            self.names,
+            self.disabled,
+            seconds=scenarios.MEASURED_SECONDS,
+        )
         counts = collections.Counter(item.identity for item in self.ran)
         lost = [item for item in self.asked if item.outcome == 'lost']
         broken = float(len(self.broken_feeds))
@@ -362,8 +368,8 @@
         return {
             'broken_flows_weighted': broken,
             'broken_unexcused_weighted': broken,
-            'imbalance_p50': scenarios.percentile(ratios, 0.5),
-            'imbalance_p99': scenarios.percentile(ratios, 0.99),
+            'imbalance_p50': imbalance.percentile(ratios, 0.5),
+            'imbalance_p99': imbalance.percentile(ratios, 0.99),
             'lost': len(lost),
             'unfinished': self._arrived - len(self.asked),
             'outcome_unknown': 0,
@@ -376,7 +382,7 @@
             'untrue_refusals': 0,
             'goodput': done / scenarios.MEASURED_S / self.capacity,
             'goodput_guarded': good / len(of_kind) if of_kind else 1.0,
-            'p99_latency_ms': 1000 * scenarios.percentile(latency, 0.99),
+            'p99_latency_ms': 1000 * imbalance.percentile(latency, 0.99),
             'control_bytes_per_s_max': 0.0,
             'config_in_force_s_max': 0.0,
             'ratios': ratios,
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import collections
-import math
 import typing
 
 from bench import fakes
+from bench import imbalance
 from bench import shapes
 from bench import world
 
@@ -14,6 +14,7 @@
 #: cold; their slots are all open after four seconds.
 WARM_S = 6.0
 MEASURED_S = 12.0
+MEASURED_SECONDS = range(int(WARM_S), int(WARM_S + MEASURED_S))
 #: Seconds after the last arrival for answers and repeats.
 TAIL_S = 8.0
 #: Flows that requests come on, and feeds beside them.
@@ -99,67 +100,6 @@
 }
 
 
-class Disabled:
-    """When each target of the first service could not take new work."""
-
-    def __init__(self) -> None:
-        """Start with all able."""
-        self._since: dict[str, float] = {}
-        self._spans: list[tuple[str, float, float]] = []
-
-    def begin(self, name: str, at: float) -> None:
-        """Note that a target is out."""
-        self._since.setdefault(name, at)
-
-    def end(self, name: str, at: float) -> None:
-        """Note that a target is in again; it may take 3 s until it's used."""
-        since = self._since.pop(name, None)
-        if since is not None:
-            self._spans.append((name, since, at + 3.0))
-
-    def able(self, names: list[str], start: float, end: float) -> list[str]:
-        """Return the targets that were able throughout a window."""
-        out = {name for name, since in self._since.items() if since < end}
-        for name, since, until in self._spans:
-            if since < end and until > start:
-                out.add(name)
-        return [name for name in names if name not in out]
-
-
-def percentile(values: list[float], share: float) -> float:
-    """Return the value below which a share of all values lies."""
-    if not values:
-        return 0.0
-    ordered = sorted(values)
-    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
-
-
-def window_ratios(
-    ran: list[fakes.Ran], names: list[str], disabled: Disabled
-) -> list[float]:
-    """Return, for each second, the most loaded target over the mean.
-
-    Imbalance is defined here, once: load over paid share, for each target, in
-    windows of one second. Load is the weight of the requests that began to
-    run; a target that may take no new work is left out of its windows.
-    """
-    windows: dict[int, collections.Counter] = collections.defaultdict(
-        collections.Counter
-    )
-    wanted = set(names)
-    for item in ran:
-        if item.instance in wanted:
-            windows[int(item.at)][item.instance] += item.weight
-    ratios = []
-    first, last = int(WARM_S), int(WARM_S + MEASURED_S)
-    for second in range(first, last):
-        able = disabled.able(names, second, second + 1)
-        loads = [windows[second][name] for name in able]
-        if loads and sum(loads):
-            ratios.append(max(loads) * len(loads) / sum(loads))
-    return ratios
-
-
 class Run:
     """One scenario with the real decisions."""
 
@@ -175,7 +115,7 @@
         self.service, count = shape.services[0]
         self.names = [f'{self.service}-{n}' for n in range(1, count + 1)]
         self.capacity = count * shape.slots / scenario.service_s
-        self.disabled = Disabled()
+        self.disabled = imbalance.Disabled()
         self.excused_flows: set[bytes] = set()
         self.excused: set[str] = set()
         self.balancers = 3
@@ -311,13 +251,15 @@
         asked = [item for item in drive.asked if item.kind != 'feed']
         runs = collections.Counter(item.identity for item in drive.ran)
         broken, unexcused = self._broken(asked)
-        ratios = window_ratios(drive.ran, self.names, self.disabled)
+        ratios = imbalance.window_ratios(
+            drive.ran, self.names, self.disabled, seconds=MEASURED_SECONDS
+        )
         answered = [item for item in asked if item.outcome == 'answer']
         return {
             'broken_flows_weighted': broken,
             'broken_unexcused_weighted': unexcused,
-            'imbalance_p50': percentile(ratios, 0.5),
-            'imbalance_p99': percentile(ratios, 0.99),
+            'imbalance_p50': imbalance.percentile(ratios, 0.5),
+            'imbalance_p99': imbalance.percentile(ratios, 0.99),
             'lost': sum(item.outcome == 'lost' for item in asked),
             'unfinished': sum(c.unfinished for c in drive.callers.values()),
             'outcome_unknown': sum(
@@ -341,7 +283,7 @@
             'goodput': self._goodput(answered),
             'goodput_guarded': self._guarded(asked),
             'p99_latency_ms': 1000
-            * percentile([item.seconds for item in answered], 0.99),
+            * imbalance.percentile([item.seconds for item in answered], 0.99),
             'control_bytes_per_s_max': max(
                 rate
                 for process in drive.processes.values()
