Take no proof from words that waited while the process stood still

Cause: an age that is told counts from when it was sent, and was taken to count from when it is read. Now words that are read in the 0.1 s after a pause, when what waited is read, prove nothing. Pauses below 1 s aren't noticed; proof may be too young by that.

--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -304,7 +304,7 @@
         before = self._knowledge.version
         revision = self._knowledge.content_revision
         fresh = self._knowledge.apply(changes, now)
-        # Before others are notified: they take the proof along.
+            # Before others are notified: they take the proof along.
         if source == SOURCE_STORE:
             # A whole read covers what its first page does, not what came
             # while the others were on their way.
@@ -460,9 +460,7 @@
         new = self._mesh.is_new(host, heartbeat, now)
         peer = self._mesh.hear(host, heartbeat, now, asked=asked)
         self._store.hear(heartbeat, now)
-        self._freshness.hear(
-            heartbeat, now, alerts_upto=self._knowledge.alerts_upto
-        )
+        self._hear_proof(heartbeat, now)
         if new:
             peer.named_at = 0.0
             self._reporter.note(
@@ -479,6 +477,18 @@
             self._exchange.pull(now)
         self._on_heartbeat(peer, now)
 
+    def _hear_proof(self, heartbeat: control.Heartbeat, now: float) -> None:
+        """Take over until when another process knows all alerts.
+
+        Not of what waited while this process stood still: its age counts from
+        when it was sent, and would look younger than an alert that is missing.
+        """
+        if self.distrusts(now):
+            return
+        self._freshness.hear(
+            heartbeat, now, alerts_upto=self._knowledge.alerts_upto
+        )
+
     def _greets(self, peer: peers.Peer, now: float) -> bool:
         """Tell whether a process that is new hears of this one at once."""
         if self._is_balancer:
--- a/tests/packets/test_freshness.py
+++ b/tests/packets/test_freshness.py
@@ -165,3 +165,27 @@
     world.store.refused.clear()
     world.run(2.0)
     assert world.events('alerts current')
+
+
+def test_words_that_waited_during_a_pause_prove_nothing_new() -> None:
+    """A process that wakes up dates what it reads then as if just sent.
+
+    Symptom: proof that is younger than an alert which the process lacks, in
+    the first half second after it stood still.
+    Events: a balancer freezes; others tell it that they know all; a server
+    says that it leaves; the balancer wakes and reads what waited.
+    Cause: the age that a word tells counts from when it is read.
+    """
+    world = packet_world.small_world(balancers=6, servers=6)
+    process = world.balancers()[-1]
+    process.paused = True
+    world.run(0.6)
+    server = next(iter(world.servers.values()))
+    server.draining = True
+    published = world.now
+    world.store.put(server)
+    process.node._exchange.on_changes = lambda *_: None
+    process.node._exchange.on_alerts = lambda *_: None
+    world.run(1.5)
+    process.wake()
+    assert world.now - process.node.alerts_age_s <= published
