Don't tell the newest alert that is known after a whole read as the newest of all

Cause: a whole read shows no entry that is gone. Who had just read all told that it knows all alerts, the newest of them an older one; others took that for proof, though they lacked the removal, and kept the entry until the next change. It needs the restart of all that know of it, as of both readers. Now the newest alert counts as new as the read, until somebody with proof from after it tells which is the newest. The test failed before: proof 1.65 s too young.

--- a/packages/teaseldock/teaseldock/packets/freshness.py
+++ b/packages/teaseldock/teaseldock/packets/freshness.py
@@ -57,22 +57,24 @@
 
     def hear(
         self, heartbeat: control.Heartbeat, now: float, *, alerts_upto: int
-    ) -> None:
+    ) -> float | None:
         """Take over how far another process knows all alerts.
 
         :param alerts_upto: revision up to which they are known here.
+        :returns: until when it knows them, if that holds here too.
         """
         if heartbeat.alerts_age_ms < 0:
-            return
+            return None
         age_s = heartbeat.alerts_age_ms / 1000 + store_state.PASSED_ON_S
         at = now - age_s
         if heartbeat.alerted <= alerts_upto:
             self._know(at)
-            return
+            return at
         claimed = self._claims.get(heartbeat.alerted)
         if claimed is None and len(self._claims) == CLAIMS_KEPT:
             del self._claims[min(self._claims)]
         self._claims[heartbeat.alerted] = max(at, claimed or at)
+        return None
 
     def caught_up(self, alerts_upto: int) -> None:
         """Take over what others had proof of, now that it is known here.
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -57,6 +57,9 @@
         self._evacuations = evacuations.Evacuations()
         self._alerts = alert_logs.AlertLog()
         self._alerts_upto = 0
+        # Revision that the newest alert may have, if it is none that is known:
+        # a whole read tells of no entry that is gone.
+        self._alerts_floor = 0
         self._wants_all = False
         self._removals: collections.deque[records.Removal] = collections.deque(
             maxlen=REMOVALS_KEPT
@@ -107,9 +110,21 @@
         """Return the revision of the newest alert, all before it known.
 
         It may be beyond :attr:`content_revision`: alerts don't wait for
-        other changes.
+        other changes. After a whole read, the newest alert may be of what is
+        gone, and is told as if it were as new as the read: told as the newest
+        that is known here, it would make others believe that they lack
+        nothing, and keep a server that is gone.
         """
-        return min(self._alerts.newest, self._alerts_upto)
+        newest = max(self._alerts.newest, self._alerts_floor)
+        return min(newest, self._alerts_upto)
+
+    def settle_alerts(self, newest: int) -> None:
+        """Take over from another process which alert is the newest.
+
+        :param newest: of all that were published before the last whole read
+            here was over.
+        """
+        self._alerts_floor = min(self._alerts_floor, newest)
 
     @property
     def alerts_upto(self) -> int:
@@ -240,6 +255,8 @@
         if complete:
             fresh = self._drop_unlisted(changes, now) or fresh
             self._removals_since = changes.upto
+            if changes.upto > self._alerts_upto:
+                self._alerts_floor = changes.upto
         self._revision = max(self._revision, changes.upto)
         fresh = self._forget_warnings() or fresh
         self._alerts.begin(self._revision)
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -100,6 +100,7 @@
         self._reading = reading.Reading(randomness)
         self._reads_because: readers.Why | None = None
         self._called_at = now
+        self._whole_at = now
         self._leaving = False
         self._started = int(now * 1000)
         self._last_tick = now
@@ -304,7 +305,9 @@
         before = self._knowledge.version
         revision = self._knowledge.content_revision
         fresh = self._knowledge.apply(changes, now)
-            # Before others are notified: they take the proof along.
+        if not changes.since:
+            self._whole_at = now
+        # Before others are notified: they take the proof along.
         if source == SOURCE_STORE:
             # A whole read covers what its first page does, not what came
             # while the others were on their way.
@@ -485,9 +488,11 @@
         """
         if self.distrusts(now):
             return
-        self._freshness.hear(
+        known_at = self._freshness.hear(
             heartbeat, now, alerts_upto=self._knowledge.alerts_upto
         )
+        if known_at is not None and known_at >= self._whole_at:
+            self._knowledge.settle_alerts(heartbeat.alerted)
 
     def _greets(self, peer: peers.Peer, now: float) -> bool:
         """Tell whether a process that is new hears of this one at once."""
--- a/tests/packets/test_freshness.py
+++ b/tests/packets/test_freshness.py
@@ -189,3 +189,35 @@
     world.run(1.5)
     process.wake()
     assert world.now - process.node.alerts_age_s <= published
+
+
+def test_who_has_read_all_proves_nothing_of_what_is_gone() -> None:
+    """A process that has just started tells others that they know all.
+
+    Symptom: proof that is younger than a removal which the process lacks, if
+    those that read the store have all restarted.
+    Events: a server's entry is removed; a balancer starts, reads the whole
+    store, in which nothing tells of that, and says that it knows all alerts,
+    the newest of them an older one.
+    Cause: who knows that one takes over the proof.
+    """
+    world = packet_world.small_world(balancers=4, servers=6)
+    lagging = world.balancers()[-1].node
+    lagging._exchange.on_changes = lambda *_: None
+    lagging._exchange.on_alerts = lambda *_: None
+    lagging.read_if_due = lambda now: None
+    others = [
+        process.host
+        for process in world.processes.values()
+        if process.node is not lagging
+    ]
+    for host in others:
+        world.kill(host)
+    gone = next(iter(world.servers.values()))
+    world.store.remove(gone.identifier)
+    removed_at = world.now
+    for host in others:
+        world.start(host)
+    world.run(2.5)
+    assert gone.identifier in lagging.knowledge.targets
+    assert world.now - lagging.alerts_age_s <= removed_at
