Let processes read for their own proof only when it is older than usual

Cause: after a change both readers' watches begin anew at one moment, so that the next proof comes 1.65 s later, and agents hear of it up to 0.9 s after that. Known in time at a process that is told nothing: below 3 s among 4 and 12 balancers, below 4 s among 30, as before (tests).

--- a/packages/teaseldock/teaseldock/packets/readers.py
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -46,12 +46,12 @@
 
 
 #: Age of own proof, seconds, beyond which a process reads the store itself. A
-#: watch takes 1.5 s and the way of its answer up to 0.9; with the spread below
-#: and a read, 0.3 s on a slow store, it keeps the 3 s that changes may take.
-PROOF_S = 2.4
+#: pause after changes and a watch take 1.65 s and the answer's way up to 0.9;
+#: with the spread below and a read it keeps the 3 s that changes may take.
+PROOF_S = 2.6
 #: Seconds over which processes whose proof is old are spread by rank: those
 #: that are being told at that moment don't read.
-PROOF_SPREAD_S = 0.3
+PROOF_SPREAD_S = 0.15
 
 
 class Why(enum.Enum):
