Tell of which era of its history the store's answers are

Now a line tells each change of era (`store era`) and each read that covers less than what is known (`store answer behind`), both counted. The HTTP client hands out the headers of an answer for it. No decision changes.

--- a/packages/teaseldock-edge/teaseldock_edge/http_exchange.py
+++ b/packages/teaseldock-edge/teaseldock_edge/http_exchange.py
@@ -28,10 +28,26 @@
 #: Largest request that a page server reads.
 MAX_REQUEST_BYTES = 8192
 
-OnAnswer = typing.Callable[[int, bytes], None]
 OnFailure = typing.Callable[[str], None]
 
 
+class Answer(typing.NamedTuple):
+    """What a server answered.
+
+    :ivar status: HTTP status.
+    :ivar headers: values by name in lower case; of a name that stands there
+        twice, the last.
+    :ivar body: as it came.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+OnAnswer = typing.Callable[[Answer], None]
+
+
 class Page(typing.NamedTuple):
     """An answer of a page server.
 
@@ -45,13 +61,17 @@
     body: str
 
 
-class _Answer:
+class _Collector:
     """Collect one answer as the parser finds its parts."""
 
     def __init__(self) -> None:
+        self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.complete = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+
     def on_body(self, part: bytes) -> None:
         self.body += part
 
@@ -69,7 +89,7 @@
         self._socket: socket.socket | None = None
         self._connected = False
         self._pending = b''
-        self._answer: _Answer | None = None
+        self._collector: _Collector | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._on_answer: OnAnswer | None = None
         self._on_failure: OnFailure | None = None
@@ -95,8 +115,8 @@
         self._timeout_s = timeout_s
         self._on_answer = on_answer
         self._on_failure = on_failure
-        self._answer = _Answer()
-        self._parser = httptools.HttpResponseParser(self._answer)
+        self._collector = _Collector()
+        self._parser = httptools.HttpResponseParser(self._collector)
         host = f'{self._address.host}:{self._address.port}'
         self._pending = f'GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n'.encode()
         self._timer = self._loop.after(timeout_s, self._give_up)
@@ -187,10 +207,10 @@
                 self._disconnect()
                 return
             self._parser.feed_data(part)
-            if len(self._answer.body) > MAX_BODY_BYTES:
+            if len(self._collector.body) > MAX_BODY_BYTES:
                 self._fail('answer too large')
                 return
-            if self._answer.complete:
+            if self._collector.complete:
                 self._finish()
                 return
             self._wait_on()
@@ -198,13 +218,16 @@
     def _finish(self) -> None:
         self._timer.cancel()
         on_answer = self._on_answer
-        status = self._parser.get_status_code()
-        body = bytes(self._answer.body)
+        answer = Answer(
+            self._parser.get_status_code(),
+            self._collector.headers,
+            bytes(self._collector.body),
+        )
         if not self._parser.should_keep_alive():
             self._disconnect()
-        self._parser = self._answer = None
+        self._parser = self._collector = None
         self._on_answer = self._on_failure = None
-        on_answer(status, body)
+        on_answer(answer)
 
 
 class _Connection:
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -106,6 +106,7 @@
         self._last_tick = now
         self._distrust_until = 0.0
         self._unnamed: set[str] = set()
+        self._store_era: int | None = None
 
     @property
     def meters(self) -> reporting.Meters:
@@ -272,10 +273,29 @@
             **self._flow_inputs,
         )
 
+    def note_store_era(self, era: int) -> None:
+        """Note of which era of the store's history an answer is."""
+        if era == self._store_era:
+            return
+        before, self._store_era = self._store_era, era
+        if before is not None:
+            self._meters.counters['store_eras_seen'] += 1
+        self._reporter.note(
+            'store era', before=before, era=era, **self._flow_inputs
+        )
+
     def store_answered(self, changes: records.Changes, now: float) -> None:
         """Take the answer of a call to the store."""
         if self._store.answered(now):
             self._reporter.note('store regained', **self._flow_inputs)
+        if changes.upto < self._knowledge.revision:
+            self._meters.counters['store_answers_behind'] += 1
+            self._reporter.note(
+                'store answer behind',
+                upto=changes.upto,
+                known=self._knowledge.revision,
+                **self._flow_inputs,
+            )
         changed = self._take(changes, SOURCE_STORE, now)
         self._reading.succeeded(now, changed=changed)
         self.read_if_due(now)
--- a/tests/edge/test_http_exchange.py
+++ b/tests/edge/test_http_exchange.py
@@ -21,6 +21,7 @@
         """Start with nothing."""
         self.loop = loop
         self.answers: list[tuple[int, bytes]] = []
+        self.headers: dict[str, str] = {}
         self.failures: list[str] = []
 
     def get(
@@ -35,8 +36,9 @@
         )
         self.loop.run()
 
-    def _answer(self, status: int, body: bytes) -> None:
-        self.answers.append((status, body))
+    def _answer(self, answer: http_exchange.Answer) -> None:
+        self.answers.append((answer.status, answer.body))
+        self.headers = answer.headers
         self.loop.stop()
 
     def _fail(self, problem: str) -> None:
@@ -78,6 +80,7 @@
         outcome.get(client, path, timeout_s=2)
     assert [status for status, _ in outcome.answers] == [503, 503, 404]
     assert outcome.answers[0][1] == b'x' * 500
+    assert outcome.headers['content-type'] == 'text/plain'
     client.close()
     server.close()
 
