--- a/bench/packet_store.py
+++ b/bench/packet_store.py
@@ -1,4 +1,4 @@
-"""Fake the store: one revision counter, a history, and outages."""
+"""Fake the store: one revision counter, a history, outages, older copies."""
 
 from __future__ import annotations
 
@@ -11,6 +11,25 @@
     from bench import packet_world
 
 
+#: Seconds of former states kept, for coming back from one of them.
+COPIES_KEPT_S = 20.0
+#: Seconds after the store's return until the operator has written again what
+#: was lost, until the last server has, and until entries of dead ones expire.
+OPERATOR_WRITES_S = 0.3
+SERVERS_WRITE_S = 2.0
+ENTRIES_EXPIRE_S = 3.6
+
+
+class _State(typing.NamedTuple):
+    """What the store holds at one moment."""
+
+    at: float
+    revision: int
+    configuration: records.Configuration | None
+    targets: dict[str, records.Target]
+    evacuations: dict[str, records.Evacuation]
+
+
 class Store:
     """A store with one revision counter, a history and outages."""
 
@@ -30,6 +49,106 @@
         ] = []
         self._evacuations: dict[str, records.Evacuation] = {}
         self._watches: list[tuple[packet_world.Process, int, float]] = []
+        self._copies: list[_State] = []
+
+    @property
+    def configuration(self) -> records.Configuration | None:
+        """Return the configuration that is published."""
+        return self._configuration
+
+    @property
+    def targets(self) -> dict[str, records.Target]:
+        """Return the entries by identifier."""
+        return self._targets
+
+    def _next_revision(self) -> int:
+        """Keep a copy of what is there, and return the next revision."""
+        self._copies = [
+            copy
+            for copy in self._copies
+            if self.world.now - copy.at < COPIES_KEPT_S
+        ]
+        self._copies.append(
+            _State(
+                self.world.now,
+                self.revision,
+                self._configuration,
+                dict(self._targets),
+                dict(self._evacuations),
+            )
+        )
+        self.revision += 1
+        return self.revision
+
+    def go_away(self) -> None:
+        """Answer nobody any more."""
+        self.up = False
+        self._wake()
+
+    def come_back(self, lost_s: float) -> None:
+        """Come back without what was written in the last seconds.
+
+        The operator and the servers write it again; the entries of servers
+        that have gone meanwhile expire.
+        """
+        since = self.world.now - lost_s
+        lost = [copy for copy in self._copies if copy.at >= since]
+        newest, evacuations = self._configuration, dict(self._evacuations)
+        if lost:
+            copy = lost[0]
+            self.revision = copy.revision
+            self._configuration = copy.configuration
+            self._targets = dict(copy.targets)
+            self._evacuations = dict(copy.evacuations)
+        self._copies = self._copies[: len(self._copies) - len(lost)]
+        self._events.clear()
+        self.history_from = self.revision
+        self.up = True
+        self._wake()
+        self.world.after(
+            OPERATOR_WRITES_S,
+            lambda: self._operator_writes(newest, evacuations),
+        )
+        for host in self.world.servers:
+            delay_s = self.world.random.uniform(0.1, SERVERS_WRITE_S)
+            self.world.after(delay_s, lambda h=host: self._server_writes(h))
+        self.world.after(ENTRIES_EXPIRE_S, self._expire)
+
+    def _operator_writes(
+        self,
+        newest: records.Configuration | None,
+        evacuations: dict[str, records.Evacuation],
+    ) -> None:
+        known = self._configuration
+        if newest and (known is None or known.version < newest.version):
+            self.configure(
+                newest.version,
+                newest.routes,
+                idle_timeout_ms=newest.idle_timeout_ms,
+                cold_limits=newest.cold_limits,
+            )
+        for name in evacuations.keys() ^ self._evacuations.keys():
+            self.evacuate(name, active=name in evacuations)
+
+    def _server_writes(self, host: str) -> None:
+        server = self.world.servers.get(host)
+        if server is None or not server.up or not self.up:
+            return
+        known = self._targets.get(server.identifier)
+        if known is None or known != server.entry()._replace(
+            revision=known.revision
+        ):
+            self.put(server)
+
+    def _expire(self) -> None:
+        living = {
+            server.identifier
+            for server in self.world.servers.values()
+            if server.up
+        }
+        if self.up:
+            for identifier in self._targets.keys() - living:
+                self.remove(identifier)
 
     def configure(
         self,
@@ -40,7 +159,7 @@
         cold_limits: tuple[records.ColdLimit, ...] = (),
     ) -> None:
         """Publish a configuration."""
-        self.revision += 1
+        self._next_revision()
         services = {
             choice.service for route in routes for choice in route.choices
         }
@@ -56,7 +175,7 @@
 
     def put(self, server: packet_server.Server) -> None:
         """Write a server's entry."""
-        self.revision += 1
+        self._next_revision()
         target = server.entry()._replace(revision=self.revision)
         self._targets[target.identifier] = target
         self._events.append(target)
@@ -64,14 +183,14 @@
 
     def remove(self, identifier: str) -> None:
         """Remove an entry."""
-        self.revision += 1
+        self._next_revision()
         del self._targets[identifier]
         self._events.append(records.Removal(identifier, self.revision))
         self._wake()
 
     def evacuate(self, data_centre: str, *, active: bool = True) -> None:
         """Request that a data centre gets no new flows, or take it back."""
-        self.revision += 1
+        self._next_revision()
         item = records.Evacuation(data_centre, self.revision, active)
         self._evacuations.pop(data_centre, None)
         if active:
@@ -165,7 +284,7 @@
         for process, since, until in waiting:
             if not self.up or process.host in self.refused:
                 self._hand(process, 'store_failed', 'cut')
-            elif since < self.history_from:
+            elif since < self.history_from or since > self.revision:
                 self._hand(process, 'store_lost_history')
             elif since < self.revision or self.world.now >= until:
                 self._hand(process, 'store_answered', self._changes(since))
