Don't tell alerts as complete that came and went unseen

What callers see: a route that the operator dropped is used on at processes that have proof of all alerts.

Cause: a process that read all of the store, or got two versions of the configuration in one answer, knows of no route that came with one and went with the other, nor of an entry that did. Its log of alerts counted as complete all the same, and what it told raised the proof of those that had seen the route come.

Now each answer tells from where on no alert is missing. Who lacks more gets what there is, but no proof, and asks somebody else at once, each once. A change of the configuration also says which routes are gone that the receiver never saw. Both tests failed before.

test_who_lags_beyond_what_is_kept_needs_all asked for no answer; it now asks for one that says that it isn't complete and goes no further than the revision asked for, which leaves the asker as far behind as before.

--- a/bench/packet_store.py
+++ b/bench/packet_store.py
@@ -43,6 +43,7 @@
         self.calls = 0
         self.delay_s = 0.004
         self._configuration: records.Configuration | None = None
+        self._configured: list[int] = []
         self._targets: dict[str, records.Target] = {}
         self._events: list[
             records.Target | records.Removal | records.Evacuation
@@ -160,6 +161,7 @@
     ) -> None:
         """Publish a configuration."""
         self._next_revision()
+        self._configured.append(self.revision)
         services = {
             choice.service for route in routes for choice in route.choices
         }
@@ -245,6 +247,7 @@
                 configuration,
                 evacuations=tuple(self._evacuations.values()),
             )
+        jumped = [item for item in self._configured if item > since][1:]
         news = [item for item in self._events if item.revision > since]
         removed = {
             item.identifier
@@ -277,6 +280,7 @@
             ],
             configuration,
             evacuations=tuple(evacuations.values()),
+            alerts_since=max([since, *jumped]),
         )
 
     def _wake(self) -> None:
--- a/packages/teaseldock/teaseldock/packets/alerts.py
+++ b/packages/teaseldock/teaseldock/packets/alerts.py
@@ -35,11 +35,24 @@
         """Return the revision of the newest alert, 0 if there is none."""
         return self._newest
 
+    @property
+    def since(self) -> int:
+        """Return the revision after which no alert is missing."""
+        return self._since or 0
+
     def begin(self, revision: int) -> None:
         """Note that all alerts after a revision will be here."""
         if self._since is None:
             self._since = revision
 
+    def miss(self, upto: int) -> None:
+        """Note that alerts up to a revision may be missing.
+
+        Whoever lacks them would take those that are here for all, and bring
+        flows to a server or a route that is gone, with proof that it isn't.
+        """
+        self._since = max(self.since, upto)
+
     def note(self, alert: records.Alert) -> bool:
         """Keep an alert; tell whether it was not here yet."""
         key = alert.kind, alert.subject
@@ -67,18 +80,22 @@
         """Return what a process lacks that knows all alerts up to a revision.
 
         :param upto: revision up to which all alerts are known here.
-        :returns: None if some of what it lacks isn't kept any more.
+        :returns: None if nothing is known. Where some of what it lacks isn't
+            known or kept, the answer has what is, and goes no further than
+            the revision asked for.
         """
-        if self._since is None or revision < self._since:
+        if self._since is None:
             return None
+        if revision < self._since:
+            upto = revision
         items = sorted(
             (item for item in self._items if item.revision > revision),
             key=lambda item: item.revision,
         )
         if len(items) > AT_ONCE:
-            upto = items[AT_ONCE - 1].revision
-            items = [item for item in items if item.revision <= upto]
-        return records.Alerts(revision, upto, items)
+            items = items[:AT_ONCE]
+            upto = min(upto, items[-1].revision)
+        return records.Alerts(revision, upto, items, self._since)
 
 
 def of_removal(removal: records.Removal) -> records.Alert:
--- a/packages/teaseldock/teaseldock/packets/exchanging.py
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -15,6 +15,7 @@
 
     from teaseldock.packets import knowledge
     from teaseldock.packets import mesh
+    from teaseldock.packets import peer as peers
     from teaseldock.packets import records
     from teaseldock.packets import reporting
 
@@ -65,6 +66,8 @@
         self._alerts_asked: collections.deque[str] = collections.deque(
             maxlen=pulling.EXPECTED_FROM
         )
+        # By host, from which alert on a process knows all.
+        self._alerts_kept: dict[str, int] = {}
         self._meters = meters
         self._pulling = pulling.Pulling(randomness)
         self._referrals = budget.Budget(
@@ -94,7 +97,7 @@
             ahead = self._mesh.alerted_beyond(own, now)
             if not ahead:
                 return
-            source = self._random.choice(ahead).host
+            source = self._random.choice(self._complete(ahead) or ahead).host
         self._alerts_asked_at = now
         self._alerts_asked.append(source)
         self._meters.counters['alerts_wanted'] += 1
@@ -104,6 +107,15 @@
             control_budget.Purpose.ALERT,
         )
 
+    def _complete(self, ahead: list[peers.Peer]) -> list[peers.Peer]:
+        """Return processes that may know all alerts that are missing here."""
+        own = self._knowledge.alerts_upto
+        return [
+            peer
+            for peer in ahead
+            if self._alerts_kept.get(peer.host, 0) <= own
+        ]
+
     def on_want_alerts(self, body: bytes, host: str, now: float) -> None:
         """Send the alerts that a process lacks."""
         since = control.read_revision(body)
@@ -114,9 +126,10 @@
             return
         alerts = self._knowledge.alerts_after(since)
         if alerts is None:
-            # It needs more than is kept here, and asks for all changes too.
-            self._meters.counters['alerts_not_kept'] += 1
             return
+        if not alerts.complete:
+            # It stays behind, and asks others, and for all changes too.
+            self._meters.counters['alerts_not_kept'] += 1
         self._meters.counters['alerts_sent'] += 1
         self._send(
             host, control.pack_alerts(alerts), control_budget.Purpose.ALERT
@@ -128,8 +141,13 @@
             self._meters.counters['dropped_alerts_of_stranger'] += 1
             return
         before = self._knowledge.alerts_upto
-        self._take_alerts(control.read_alerts(body), host, now)
-        if self._knowledge.alerts_upto > before:
+        alerts = control.read_alerts(body)
+        self._alerts_kept[host] = alerts.kept_since
+        self._take_alerts(alerts, host, now)
+        ahead = self._mesh.alerted_beyond(before, now)
+        # Each that has begun later than this process is asked but once.
+        another = not alerts.complete and self._complete(ahead)
+        if another or self._knowledge.alerts_upto > before:
             self._alerts_asked_at = None
             self.pull_alerts(now)
 
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -257,6 +257,10 @@
             self._removals_since = changes.upto
             if changes.upto > self._alerts_upto:
                 self._alerts_floor = changes.upto
+        # A read of all tells of nothing that came and went before it.
+        alerts_since = changes.upto if complete else changes.alerts_since
+        if alerts_since > self._alerts_upto:
+            self._alerts.miss(alerts_since)
         self._revision = max(self._revision, changes.upto)
         fresh = self._forget_warnings() or fresh
         self._alerts.begin(self._revision)
@@ -508,6 +512,10 @@
                 configuration = None
         if change and change.revision <= revision:
             change = None
+        alerts_since = self._alerts.since
+        if configuration:
+            # Routes that came and went before it aren't told.
+            alerts_since = max(alerts_since, configuration.revision)
         return records.Changes(
             revision,
             self._revision,
@@ -517,4 +525,5 @@
             change,
             self.content_revision,
             self._evacuations.since(revision),
+            alerts_since,
         )
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -224,16 +224,24 @@
 
 
 class Alerts(typing.NamedTuple):
-    """All alerts between two revisions.
+    """Alerts after a revision.
 
-    :ivar since: revision after which all are here.
-    :ivar upto: revision up to which the receiver knows all afterwards.
+    :ivar since: revision after which they were asked for.
+    :ivar upto: revision up to which the receiver knows all afterwards; no
+        later than ``since`` where the sender doesn't know all.
     :ivar items: the alerts, oldest first.
+    :ivar kept_since: revision after which the sender knows all.
     """
 
     since: int
     upto: int
     items: list[Alert]
+    kept_since: int = 0
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether none after ``since`` is missing."""
+        return self.kept_since <= self.since
 
 
 class Changes(typing.NamedTuple):
@@ -249,6 +257,8 @@
     :ivar newest: revision of the newest change that the sender knows of; 0
         from the store. It may be of an entry that is gone by now.
     :ivar evacuations: of data centres, requested or taken back.
+    :ivar alerts_since: revision after which no alert is missing here; before
+        it, an entry or a route may have come and gone unseen.
     """
 
     since: int
@@ -259,3 +269,4 @@
     configuration_change: ConfigurationChange | None = None
     newest: int = 0
     evacuations: tuple[Evacuation, ...] = ()
+    alerts_since: int = 0
--- a/packages/teaseldock/teaseldock/packets/route_table.py
+++ b/packages/teaseldock/teaseldock/packets/route_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import typing
 import zlib
 
 import msgspec
@@ -66,8 +67,17 @@
         if self._configuration.revision < revision:
             self._withdrawn[address] = revision
 
-    def replace(self, configuration: records.Configuration) -> bool:
-        """Take over a configuration; tell whether it is newer."""
+    def replace(
+        self,
+        configuration: records.Configuration,
+        *,
+        passed: typing.Iterable[bytes] = (),
+    ) -> bool:
+        """Take over a configuration; tell whether it is newer.
+
+        :param passed: addresses of routes that are gone by it, if they were
+            ever here: they may have come and gone in between.
+        """
         if configuration.version <= self.version:
             return False
         routes = {route.address: route for route in configuration.routes}
@@ -77,7 +87,8 @@
             if self._routes.get(address) != route:
                 self._changed[address] = configuration.revision
                 self._dropped.pop(address, None)
-        self._just_dropped = sorted(self._routes.keys() - routes.keys())
+        before = self._routes.keys() | set(passed)
+        self._just_dropped = sorted(before - routes.keys())
         for address in self._just_dropped:
             self._changed.pop(address, None)
             self._dropped[address] = configuration.revision
@@ -115,7 +126,8 @@
                 list(self._with(change).values()),
                 change.services,
                 change.cold_limits,
-            )
+            ),
+            passed=change.dropped,
         )
 
     def _with(
--- a/tests/packets/test_alerts.py
+++ b/tests/packets/test_alerts.py
@@ -187,8 +187,10 @@
     log.begin(0)
     for revision in range(1, alerts.KEPT + 11):
         log.note(records.Alert(GONE, str(revision), revision))
-    assert log.after(5, 2000) is None
-    assert log.after(10, 2000) is not None
+    answer = log.after(5, 2000)
+    assert not answer.complete
+    assert answer.upto == 5
+    assert log.after(10, 2000).complete
 
 
 def test_alerts_that_cannot_be_read_are_refused() -> None:
@@ -296,6 +298,35 @@
         asker.apply_alerts(answer, now)
 
 
+def test_who_jumped_over_a_version_gives_no_proof_of_what_it_dropped() -> None:
+    """Guards against a dropped route that is used with proof of all alerts."""
+    jumped, behind = known_at(5), known_at(5)
+    behind.apply(records.Changes(5, 9, [], [], config(8, 443, 444, 445)), 1.0)
+    jumped.apply(records.Changes(0, 20, [], [], config(15, 443, 444)), 2.0)
+    behind.apply_alerts(jumped.alerts_after(behind.alerts_upto), 3.0)
+    assert behind.alerts_upto == 9
+    behind.apply(jumped.changes_since(behind.wanted_since), 4.0)
+    assert behind.alerts_upto == 20
+    assert (
+        behind.route(packet_world.route('dispatch', port=445).address) is None
+    )
+
+
+def test_who_is_told_of_a_route_that_came_and_went_tells_it_on() -> None:
+    """Guards against a route that stays at whoever saw it come."""
+    knows_all, jumped, behind = known_at(5), known_at(5), known_at(5)
+    for known in (knows_all, behind):
+        came = config(8, 443, 444, 445)
+        known.apply(records.Changes(5, 9, [], [], came), 1.0)
+    knows_all.apply(records.Changes(9, 20, [], [], config(15, 443, 444)), 2.0)
+    jumped.apply(knows_all.changes_since(5), 3.0)
+    behind.apply_alerts(jumped.alerts_after(behind.alerts_upto), 4.0)
+    assert behind.alerts_upto == 20
+    assert (
+        behind.route(packet_world.route('dispatch', port=445).address) is None
+    )
+
+
 @pytest.mark.parametrize(
     ('balancers', 'servers', 'link_mbps'), [(8, 18, 2.0), (20, 53, 20.0)]
 )
