Order what is known by the era of the store's history, then by revision

Cause: class: a name given out twice. A store that comes back from an older copy gives revisions out again. We took a revision for a moment in one history, so that whole reads below what was known were dropped (yet counted as proof and were repeated at once, 704 calls in 4 s by 14 processes), and processes at equal revisions for equal.

Now a position, the store's era (its header `Store-Era`) above its revision, takes the place of the revision wherever one is compared: knowledge, alerts, removals, pulling, proof that a flow is nowhere, evacuations, heartbeats. An answer of a later era is newer than all from before; it is read once by who reads anyway, all others ask for all of it once, and serve by what they knew until then. What a copy lacks is written again; until then servers that leave go on leaving, data centres stay evacuated (4 s at most), vanished servers stay usable (2 s), and the operator's version never goes back. The same version written again is told on. Agents' denials count by version. An answer that covers less than was known when it was asked for is a failed call: no proof, and paused for. The age of a configuration has a proof of its own, told by version in heartbeats, and counts for reading the store as alerts do (it had no bound: not within 25 s at an agent that got no changes).

The other tests of the file and of the platform's client come with the change.

--- /dev/null
+++ b/bench/packet_copies.py
@@ -0,0 +1,153 @@
+"""Measure how a fleet gets over a store that comes back from an older copy.
+
+The load: the operator and the servers write all the time; the store is away
+for a moment and comes back without its last writes, beside 1,600 routes.
+
+``python -m bench.packet_copies [BALANCERS SERVERS MBPS]``
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+import typing
+
+from bench import packet_world
+from teaseldock.packets import positions
+from teaseldock.packets import records
+
+#: Fleets by balancers, servers and speed of the balancers' links, Mbit/s.
+FLEETS = ((8, 18, 20.0), (20, 53, 20.0), (59, 136, 20.0), (59, 136, 200.0))
+ROUTES = 1600
+#: Writes a second, and seconds of them that are lost.
+WRITES_PER_S = 4.0
+LOST_S = 4.0
+AWAY_S = 1.0
+#: Seconds that are played after the return, and between two looks.
+LOOKED_S = 8.0
+LOOK_S = 0.05
+
+
+class Recovery(typing.NamedTuple):
+    """What one play showed, after the store's return.
+
+    :ivar read_s: seconds until all processes know the new history.
+    :ivar alike_s: seconds until all know exactly what the store holds.
+    :ivar calls: to the store in :data:`LOOKED_S`.
+    :ivar mean_bytes: control bytes a second and process meanwhile.
+    :ivar most_bytes: of the busiest second of any process.
+    """
+
+    read_s: float
+    alike_s: float
+    calls: int
+    mean_bytes: float
+    most_bytes: int
+
+
+def routes(step: int) -> list[records.Route]:
+    """Return many routes, one of which changes with each step."""
+    ports = [1000 + index for index in range(ROUTES)] + [5000 + step]
+    return [
+        packet_world.route('dispatch'),
+        *(packet_world.route('dispatch', port=port) for port in ports),
+    ]
+
+
+def is_alike(process: packet_world.Process) -> bool:
+    """Tell whether a process knows what the store holds, and nothing else."""
+    store = process.world.store
+    known = process.node.knowledge
+    published = store.configuration
+    if published is None or known.version != published.version:
+        return False
+    if known.targets.keys() != store.targets.keys():
+        return False
+    return all(
+        target.slots == store.targets[name].slots
+        and target.draining == store.targets[name].draining
+        for name, target in known.targets.items()
+    )
+
+
+def _write(world: packet_world.World) -> None:
+    hosts = sorted(world.servers)
+    steps = round(WRITES_PER_S * LOST_S)
+    for step in range(steps):
+        if step % 4 == 0:
+            world.store.configure(2 + step, routes(step))
+        else:
+            server = world.servers[hosts[step]]
+            server.slots += 1
+            world.store.put(server)
+        world.run(LOST_S / steps)
+
+
+def play(
+    balancers: int, servers: int, link_mbps: float, *, seed: int = 1
+) -> Recovery:
+    """Play one return."""
+    world = packet_world.small_world(
+        balancers=balancers,
+        servers=servers,
+        slots=1,
+        link_mbps=link_mbps,
+        seed=seed,
+    )
+    world.store.configure(1 + 1, routes(0))
+    world.run(6.0)
+    _write(world)
+    world.store.go_away()
+    world.run(AWAY_S)
+    world.store.come_back(LOST_S / 2 + AWAY_S)
+    since, calls = world.now, world.store.calls
+    era = positions.era(world.store.revision)
+    read_s = alike_s = LOOKED_S
+    while world.now - since < LOOKED_S:
+        world.run(LOOK_S)
+        processes = list(world.processes.values())
+        eras = {positions.era(p.node.knowledge.revision) for p in processes}
+        after_s = world.now - since
+        if eras == {era}:
+            read_s = min(read_s, after_s)
+        if not all(map(is_alike, processes)):
+            alike_s = LOOKED_S
+        elif alike_s == LOOKED_S:
+            alike_s = after_s
+    spent = {
+        key: size
+        for key, size in world.control_bytes.items()
+        if key[1] >= int(since)
+    }
+    mean = sum(spent.values()) / LOOKED_S / len(world.processes)
+    return Recovery(
+        read_s,
+        alike_s,
+        world.store.calls - calls,
+        mean,
+        max(spent.values()),
+    )
+
+
+def main() -> None:
+    """Print a table."""
+    fleets: typing.Iterable[tuple[int, int, float]] = FLEETS
+    if len(sys.argv) > 3:
+        fleets = ((int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])),)
+    print(
+        'processes  Mbit/s  read s  alike s  calls  bytes/s  busiest  took s'
+    )
+    for balancers, servers, link_mbps in fleets:
+        began = time.perf_counter()
+        found = play(balancers, servers, link_mbps)
+        took_s = time.perf_counter() - began
+        print(
+            f'{balancers + servers:9d} {link_mbps:7.0f} {found.read_s:7.2f}'
+            f' {found.alike_s:8.2f} {found.calls:6d} {found.mean_bytes:8.0f}'
+            f' {found.most_bytes:8d} {took_s:7.1f}',
+            flush=True,
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/packet_store.py
+++ b/bench/packet_store.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from teaseldock.packets import positions
 from teaseldock.packets import records
 
 if typing.TYPE_CHECKING:
@@ -38,8 +39,10 @@
         self.world = world
         self.up = True
         self.refused: set[str] = set()
+        # As positions: the translation at the platform's edge is not played.
         self.revision = 0
         self.history_from = 0
+        self._era = 0
         self.calls = 0
         self.delay_s = 0.004
         self._configuration: records.Configuration | None = None
@@ -69,18 +72,19 @@
             for copy in self._copies
             if self.world.now - copy.at < COPIES_KEPT_S
         ]
-        self._copies.append(
-            _State(
-                self.world.now,
-                self.revision,
-                self._configuration,
-                dict(self._targets),
-                dict(self._evacuations),
-            )
-        )
+        self._copies.append(self._state())
         self.revision += 1
         return self.revision
 
+    def _state(self) -> _State:
+        return _State(
+            self.world.now,
+            self.revision,
+            self._configuration,
+            dict(self._targets),
+            dict(self._evacuations),
+        )
+
     def go_away(self) -> None:
         """Answer nobody any more."""
         self.up = False
@@ -95,12 +99,7 @@
         since = self.world.now - lost_s
         lost = [copy for copy in self._copies if copy.at >= since]
         newest, evacuations = self._configuration, dict(self._evacuations)
-        if lost:
-            copy = lost[0]
-            self.revision = copy.revision
-            self._configuration = copy.configuration
-            self._targets = dict(copy.targets)
-            self._evacuations = dict(copy.evacuations)
+        self._restore(lost[0] if lost else self._state())
         self._copies = self._copies[: len(self._copies) - len(lost)]
         self._events.clear()
         self.history_from = self.revision
@@ -115,6 +114,27 @@
             self.world.after(delay_s, lambda h=host: self._server_writes(h))
         self.world.after(ENTRIES_EXPIRE_S, self._expire)
 
+    def _restore(self, copy: _State) -> None:
+        """Take the content of a copy, under positions of a new era."""
+        self._era += 1
+        self.revision = self._replaced(copy.revision)
+        if copy.configuration is not None:
+            self._configuration = copy.configuration._replace(
+                revision=self._replaced(copy.configuration.revision)
+            )
+        self._targets = {
+            name: item._replace(revision=self._replaced(item.revision))
+            for name, item in copy.targets.items()
+        }
+        self._evacuations = {
+            name: item._replace(revision=self._replaced(item.revision))
+            for name, item in copy.evacuations.items()
+        }
+
+    def _replaced(self, position: int) -> int:
+        """Return a revision of the copy as a position of this era."""
+        return positions.make(self._era, positions.revision(position))
+
     def _operator_writes(
         self,
         newest: records.Configuration | None,
@@ -288,7 +308,7 @@
         for process, since, until in waiting:
             if not self.up or process.host in self.refused:
                 self._hand(process, 'store_failed', 'cut')
-            elif since < self.history_from or since > self.revision:
+            elif since < self.history_from:
                 self._hand(process, 'store_lost_history')
             elif since < self.revision or self.world.now >= until:
                 self._hand(process, 'store_answered', self._changes(since))
--- a/packages/teaseldock-edge/teaseldock_edge/meters_page.py
+++ b/packages/teaseldock-edge/teaseldock_edge/meters_page.py
@@ -8,6 +8,7 @@
 
 import typing
 
+from teaseldock.packets import positions
 from teaseldock.packets import reporting
 from teaseldock_edge import http_exchange
 
@@ -43,13 +44,16 @@
         for purpose, size in sorted(self._node.budget.spent.items()):
             control_bytes.add_metric([purpose], size)
         yield control_bytes
+        newest = self._node.knowledge.content_revision
         for name, value in (
-            ('revision', self._node.knowledge.content_revision),
+            ('revision', positions.revision(newest)),
+            ('era', positions.era(newest)),
             ('version', self._node.knowledge.version),
             ('targets', len(self._node.knowledge.targets)),
             ('processes', len(self._node.mesh.peers)),
             ('evacuated', len(self._node.knowledge.evacuated)),
             ('alerts_age_ms', 1000 * self._node.alerts_age_s),
+            ('version_age_ms', 1000 * self._node.version_age_s),
         ):
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=value)
         for name, histogram in meters.histograms.items():
--- a/packages/teaseldock/teaseldock/packets/alerts.py
+++ b/packages/teaseldock/teaseldock/packets/alerts.py
@@ -11,6 +11,7 @@
 
 import collections
 
+from teaseldock.packets import positions
 from teaseldock.packets import records
 
 #: Alerts kept for processes that lag: a release of 300 servers, each of which
@@ -53,6 +54,23 @@
         """
         self._since = max(self.since, upto)
 
+    def restart(self, revision: int) -> None:
+        """Forget all of other eras than that of a revision.
+
+        The store's history before is not the one that goes on.
+        """
+        items = [
+            item
+            for item in self._items
+            if positions.same_era(item.revision, revision)
+        ]
+        self._items.clear()
+        self._latest.clear()
+        self._newest = 0
+        self._since = revision
+        for item in items:
+            self.note(item)
+
     def note(self, alert: records.Alert) -> bool:
         """Keep an alert; tell whether it was not here yet."""
         key = alert.kind, alert.subject
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -243,15 +243,16 @@
         self, address: bytes, services: set[str], now: float
     ) -> list[str]:
         """Return hosts beyond a route's services that may hold its flows."""
-        configuration = self._knowledge.configuration
-        since = configuration.revision if configuration else 0
+        version = self._knowledge.version
         tags = {control.service_tag(service) for service in services}
         hosts = []
         for host in self._hosts_with_servers(now):
             peer = self._mesh.peers.get(host)
             if peer is None or not peer.heard_within(mesh.TRUSTED_S, now):
                 hosts.append(host)
-            elif holdings.may_hold(peer.heartbeat, address, tags, since=since):
+            elif holdings.may_hold(
+                peer.heartbeat, address, tags, version=version
+            ):
                 hosts.append(host)
         return hosts
 
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -87,6 +87,9 @@
     :ivar alerted: revision of the newest alert, all before it known.
     :ivar alerts_age_ms: greatest age of an alert that it doesn't know; -1 if
         it knows nothing.
+    :ivar version: of the configuration that it uses, 0 before the first.
+    :ivar version_age_ms: greatest age of a version that it doesn't know; -1 if
+        it knows nothing.
     """
 
     is_balancer: bool
@@ -104,6 +107,8 @@
     slim: bool = False
     alerted: int = 0
     alerts_age_ms: int = -1
+    version: int = 0
+    version_age_ms: int = -1
 
     @property
     def balancers(self) -> list[str]:
--- a/packages/teaseldock/teaseldock/packets/evacuations.py
+++ b/packages/teaseldock/teaseldock/packets/evacuations.py
@@ -18,11 +18,36 @@
         """Start without a request."""
         self._newest: dict[str, records.Evacuation] = {}
         self._active: frozenset[str] = frozenset()
+        # Those that stood before the store came back from an older copy, and
+        # until when they stand without being requested anew.
+        self._held: dict[str, float] = {}
+        self._held_upto = 0
 
     @property
     def active(self) -> frozenset[str]:
         """Return the data centres that get no new flows."""
-        return self._active
+        return self._active.union(self._held)
+
+    def hold(self, until: float, upto: int) -> None:
+        """Let all that stand now stand for a while, whatever a copy says.
+
+        The store came back from an older copy, which may lack the request.
+        Flows would return to a data centre that is being emptied, until the
+        operator has written it again.
+
+        :param until: seconds on the clock of :meth:`release`.
+        :param upto: position up to which the copy was read; ends until then
+            only say that it lacks a request.
+        """
+        self._held_upto = upto
+        self._held = dict.fromkeys(self.active, until)
+
+    def release(self, now: float) -> bool:
+        """End those that are held no longer; tell whether any ended."""
+        ended = [name for name, until in self._held.items() if now >= until]
+        for name in ended:
+            del self._held[name]
+        return any(name not in self._active for name in ended)
 
     def apply(
         self, items: typing.Iterable[records.Evacuation]
@@ -30,30 +55,38 @@
         """Take over what is newer than what is known; return that."""
         fresh = [item for item in items if self._is_newer(item)]
         for item in fresh:
+            if item.active or item.revision > self._held_upto:
+                self._held.pop(item.data_centre, None)
+        self._keep(fresh)
+        return fresh
+
+    def _keep(self, items: list[records.Evacuation]) -> None:
+        for item in items:
             self._newest[item.data_centre] = item
-        if fresh:
+        if items:
             self._active = frozenset(
                 name for name, item in self._newest.items() if item.active
             )
-        return fresh
 
     def _is_newer(self, item: records.Evacuation) -> bool:
         known = self._newest.get(item.data_centre)
         return known is None or known.revision < item.revision
 
-    def unlisted(
+    def end_unlisted(
         self, listed: typing.Iterable[records.Evacuation], upto: int
     ) -> list[records.Evacuation]:
-        """Return the ends of requests that a complete read doesn't show.
+        """End the requests that a complete read doesn't show; return the ends.
 
-        :param upto: revision that the read covers.
+        :param upto: position that the read covers.
         """
         names = {item.data_centre for item in listed}
-        return [
+        ended = [
             records.Evacuation(name, upto, False)
             for name in self._active
             if name not in names
         ]
+        self._keep(ended)
+        return ended
 
     def since(self, revision: int) -> tuple[records.Evacuation, ...]:
         """Return what is newer than a revision."""
--- a/packages/teaseldock/teaseldock/packets/exchanging.py
+++ b/packages/teaseldock/teaseldock/packets/exchanging.py
@@ -82,7 +82,12 @@
         own = self._knowledge.content_revision
         source = self._pulling.choose(self._mesh.ahead(own, now))
         if source is not None:
-            self._want(source.host, now)
+            self._want(source.host, self._knowledge.wanted_since, now)
+            return
+        later = self._mesh.versions_beyond(self._knowledge.version, now)
+        source = self._pulling.choose(later)
+        if source is not None:
+            self._want(source.host, 0, now)
 
     def pull_alerts(self, now: float, *, source: str | None = None) -> None:
         """Ask for alerts that others know of, if it is time.
@@ -151,9 +156,8 @@
             self._alerts_asked_at = None
             self.pull_alerts(now)
 
-    def _want(self, host: str, now: float) -> None:
+    def _want(self, host: str, since: int, now: float) -> None:
         self._pulling.asked(host, now)
-        since = self._knowledge.wanted_since
         self._meters.counters['changes_wanted'] += 1
         if self._knowledge.usable and not since:
             self._meters.counters['changes_wanted_whole'] += 1
@@ -195,7 +199,8 @@
     def on_referral(self, body: bytes, host: str, now: float) -> None:
         """Ask another process, as one that was asked has advised."""
         if self._pulling.expects(host) and not self._pulling.due(now):
-            self._want(control.read_referral(body), now)
+            other = control.read_referral(body)
+            self._want(other, self._knowledge.wanted_since, now)
 
     def on_changes(self, body: bytes, host: str, now: float) -> None:
         """Take a part of the changes that were asked for."""
--- a/packages/teaseldock/teaseldock/packets/holdings.py
+++ b/packages/teaseldock/teaseldock/packets/holdings.py
@@ -67,7 +67,7 @@
     address: bytes,
     tags: set[int],
     *,
-    since: int,
+    version: int,
 ) -> bool:
     """Tell whether an agent must be asked about a flow.
 
@@ -77,9 +77,9 @@
     :param heartbeat: the agent's newest; None if it was never heard.
     :param address: the flow's, packed.
     :param tags: of the services that the configuration names for it.
-    :param since: the store's revision of that configuration.
+    :param version: of that configuration.
     """
-    if heartbeat is None or heartbeat.revision < since:
+    if heartbeat is None or heartbeat.version < version:
         return True
     held = heartbeat.holdings
     return not held.complete or held.tag in tags or held.names(address)
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -1,8 +1,11 @@
-"""Keep what the store published, by revision, and tell peers what they lack.
-
-All processes hold the same entries under the store's one revision counter.
-Whoever has a higher revision sends the difference, so that few processes
-need to read the store.
+"""Keep what the store published, by position, and tell peers what they lack.
+
+All processes hold the same entries under the positions of the store's history.
+Whoever has a higher position sends the difference, so that few processes
+need to read the store. Revisions in this module are positions, see
+:mod:`teaseldock.packets.positions`: once one process has read a store that
+came back from an older copy, what it knows is newer than all from before, so
+that everybody asks for all of it once and serves by what it knew until then.
 """
 
 from __future__ import annotations
@@ -11,7 +14,9 @@
 import typing
 
 from teaseldock.packets import alerts as alert_logs
+from teaseldock.packets import departures
 from teaseldock.packets import evacuations
+from teaseldock.packets import positions
 from teaseldock.packets import records
 from teaseldock.packets import route_table
 
@@ -24,6 +29,10 @@
 #: Seconds for which an entry that vanished without a drain stays usable: the
 #: users' two seconds until a missing entry counts as gone.
 LAPSE_GRACE_S = 2.0
+#: Seconds within which the operator and the servers have written again what
+#: a store that came back from an older copy lacks: a heartbeat of a server
+#: and the way of its entry.
+REWRITTEN_S = 4.0
 #: Seconds for which a vanished target may still hold flows.
 VANISHED_KEPT_S = 20.0
 
@@ -50,8 +59,7 @@
         # configuration names as they are by newer alerts.
         self._entries: dict[str, records.Target] = {}
         self._targets: dict[str, records.Target] = {}
-        # By identifier, the revision of an alert that is newer than the entry.
-        self._leaving: dict[str, int] = {}
+        self._departures = departures.Departures()
         self._services: dict[str, list[records.Target]] = {}
         self._placeable: dict[str, list[records.Target]] = {}
         self._evacuations = evacuations.Evacuations()
@@ -246,7 +254,8 @@
         if not changes.since:
             self._wants_all = False
         complete = changes.since == 0 and changes.upto >= self._revision
-        fresh = self._apply_configuration(changes)
+        rewound = complete and self._begin_era(changes, now)
+        fresh = self._apply_configuration(changes) or rewound
         for target in changes.targets:
             fresh = self._put(target, now, complete=complete) or fresh
         for removal in changes.removals:
@@ -254,6 +263,12 @@
         fresh = self._evacuate(changes, complete=complete) or fresh
         if complete:
             fresh = self._drop_unlisted(changes, now) or fresh
+        if rewound and not positions.same_era(
+            self._content_revision, changes.upto
+        ):
+            # Nothing in the copy has a position of its own; others must ask.
+            self._note_revision(changes.upto)
+        if complete:
             self._removals_since = changes.upto
             if changes.upto > self._alerts_upto:
                 self._alerts_floor = changes.upto
@@ -262,7 +277,7 @@
         if alerts_since > self._alerts_upto:
             self._alerts.miss(alerts_since)
         self._revision = max(self._revision, changes.upto)
-        fresh = self._forget_warnings() or fresh
+        fresh = self._departures.forget(self._revision) or fresh
         self._alerts.begin(self._revision)
         self._alerts_upto = max(self._alerts_upto, self._revision)
         if changes.newest <= self._revision:
@@ -273,6 +288,35 @@
             self._rebuild(now)
         return fresh
 
+    def _begin_era(self, changes: records.Changes, now: float) -> bool:
+        """Prepare for the first complete read of a new era, if this is it.
+
+        The store came back from a copy. What it lost will be written again:
+        until then servers that leave go on leaving, and data centres stay
+        evacuated. Nobody's alerts or removals of before can be completed.
+        """
+        known = self._revision
+        if not known or positions.same_era(known, changes.upto):
+            return False
+        used = map(self._departures.applied, self._entries.values())
+        gone = (item.target for item in self.vanished(now))
+        leaving = [item.run for item in (*used, *gone) if item.draining]
+        self._departures.remember(leaving, changes.upto)
+        self._evacuations.hold(now + REWRITTEN_S, changes.upto)
+        self._alerts.restart(changes.upto)
+        self._removals.clear()
+        return True
+
+    def release_evacuations(self, now: float) -> bool:
+        """End evacuations that were not requested anew in time.
+
+        :returns: whether any ended.
+        """
+        if not self._evacuations.release(now):
+            return False
+        self._rebuild(now)
+        return True
+
     def _misfits(self, change: records.ConfigurationChange | None) -> bool:
         if change is None or change.version <= self.version:
             return False
@@ -302,10 +346,11 @@
         return fresh
 
     def _evacuate(self, changes: records.Changes, *, complete: bool) -> bool:
-        items = list(changes.evacuations)
+        fresh = self._evacuations.apply(changes.evacuations)
         if complete:
-            items += self._evacuations.unlisted(items, changes.upto)
-        fresh = self._evacuations.apply(items)
+            fresh += self._evacuations.end_unlisted(
+                changes.evacuations, changes.upto
+            )
         for item in fresh:
             self._note_revision(item.revision)
             if item.active:
@@ -329,7 +374,7 @@
         """Take over alerts, though other changes before them are missing.
 
         Those come later, with entries as they were before; what an alert said
-        of them holds on (see :meth:`_by_alerts`).
+        of them holds on (see :mod:`teaseldock.packets.departures`).
 
         :raises ValueError: if the subject of an alert can't be read.
         """
@@ -350,7 +395,7 @@
         fresh = self._alerts.note(alert)
         if alert.revision > self._revision:
             if alert.kind == records.AlertKind.LEAVES:
-                self._leaving[alert.subject] = alert.revision
+                self._departures.note_alert(alert.subject, alert.revision)
             elif alert.kind == records.AlertKind.EVACUATED:
                 self._evacuations.apply(
                     [records.Evacuation(alert.subject, alert.revision, True)]
@@ -360,32 +405,6 @@
                 self._table.withdraw(address, alert.revision)
         return fresh
 
-    def _by_alerts(self, target: records.Target) -> records.Target:
-        """Return an entry as it is by a newer alert.
-
-        The entry itself is kept, and told to others, as it was published.
-        Told as leaving under its older revision, it would stand in the way of
-        the one that says so: whoever got it told nobody of that one, and
-        others that had all changes went on bringing flows to the server.
-        """
-        if self._is_warned_of(target):
-            return target._replace(draining=True)
-        return target
-
-    def _is_warned_of(self, target: records.Target) -> bool:
-        return self._leaving.get(target.identifier, 0) > target.revision
-
-    def _forget_warnings(self) -> bool:
-        """Drop those that entries tell by now; return whether any was left."""
-        later = {
-            name: revision
-            for name, revision in self._leaving.items()
-            if revision > self._revision
-        }
-        changed = len(later) < len(self._leaving)
-        self._leaving = later
-        return changed
-
     def _is_gone(self, target: records.Target) -> bool:
         """Tell whether an alert said that an entry is gone by now."""
         return any(
@@ -437,7 +456,7 @@
         del self._entries[removal.identifier]
         self._keep_removal(removal)
         self._vanished[known.run] = Vanished(
-            self._by_alerts(known), now, not removal.overwritten
+            self._departures.applied(known), now, not removal.overwritten
         )
         return True
 
@@ -457,7 +476,11 @@
         self, known: records.Target, target: records.Target
     ) -> bool:
         """Tell whether a later entry need not be kept or told to others."""
-        return known.only_warmer(target) and not self._is_warned_of(known)
+        if not positions.same_era(known.revision, target.revision):
+            return False
+        return known.only_warmer(target) and not self._departures.is_alerted(
+            known
+        )
 
     def _note_revision(self, revision: int) -> None:
         self._content_revision = max(self._content_revision, revision)
@@ -480,7 +503,7 @@
         configuration = self._table.configuration
         named = configuration and set(configuration.services)
         self._targets = {
-            name: self._by_alerts(target)
+            name: self._departures.applied(target)
             for name, target in self._entries.items()
             if named is None or target.service in named
         }
@@ -498,6 +521,8 @@
             for name, item in self._vanished.items()
             if now - item.at < VANISHED_KEPT_S
         }
+        runs = {item.run for item in self._entries.values()}
+        self._departures.keep_only(runs | self._vanished.keys())
 
     def changes_since(self, revision: int) -> records.Changes:
         """Return what a peer at a revision lacks."""
--- a/packages/teaseldock/teaseldock/packets/mesh.py
+++ b/packages/teaseldock/teaseldock/packets/mesh.py
@@ -94,6 +94,7 @@
         self._started = now
         self._round_at = 0.0
         self._newest_revision = 0
+        self._newest_version = 0
         self._newest_alert = 0
         # Kept until a process joins, goes or changes its role: ticks look at
         # them 20 times a second.
@@ -174,6 +175,7 @@
         peer.hear(heartbeat, now, asked=asked)
         self._newest_revision = max(self._newest_revision, heartbeat.revision)
         self._newest_alert = max(self._newest_alert, heartbeat.alerted)
+        self._newest_version = max(self._newest_version, heartbeat.version)
         for named in heartbeat.balancers:
             if named != self._host:
                 self._learn(named, is_balancer=True, now=now)
@@ -358,6 +360,20 @@
             if peer.revision > revision and peer.heard_within(TRUSTED_S, now)
         ]
 
+    def versions_beyond(self, version: int, now: float) -> list[peers.Peer]:
+        """Return heard processes that use a later configuration.
+
+        Their position may be no higher: a process that began with the older
+        configuration of a copy is at the position of those that kept theirs.
+        """
+        if self._newest_version <= version:
+            return []
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.version > version and peer.heard_within(TRUSTED_S, now)
+        ]
+
     @property
     def newest_alert(self) -> int:
         """Return the revision of the newest alert that anybody told of."""
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -14,6 +14,7 @@
 from teaseldock.packets import holdings
 from teaseldock.packets import knowledge
 from teaseldock.packets import mesh
+from teaseldock.packets import positions
 from teaseldock.packets import readers
 from teaseldock.packets import reading
 from teaseldock.packets import reporting
@@ -77,11 +78,12 @@
             now=now,
         )
         self._store = store_state.StoreState()
-        self._freshness = freshness.Freshness(now)
+        self._alerts_proof = freshness.Freshness(now)
+        self._version_proof = freshness.Freshness(now)
         self._readers = readers.Readers(
             self._mesh,
             self._store,
-            self._freshness,
+            (self._alerts_proof, self._version_proof),
             host=host,
             is_balancer=is_balancer,
             slim=self._budget.slim,
@@ -100,13 +102,14 @@
         self._reading = reading.Reading(randomness)
         self._reads_because: readers.Why | None = None
         self._called_at = now
+        # Position that was known when the call under way began.
+        self._called_knowing = 0
         self._whole_at = now
         self._leaving = False
         self._started = int(now * 1000)
         self._last_tick = now
         self._distrust_until = 0.0
         self._unnamed: set[str] = set()
-        self._store_era: int | None = None
 
     @property
     def meters(self) -> reporting.Meters:
@@ -131,7 +134,12 @@
     @property
     def alerts_age_s(self) -> float:
         """Return the greatest age of an alert that isn't known, seconds."""
-        return self._freshness.age_s(self._last_tick)
+        return self._alerts_proof.age_s(self._last_tick)
+
+    @property
+    def version_age_s(self) -> float:
+        """Return the greatest age of a version that isn't known, seconds."""
+        return self._version_proof.age_s(self._last_tick)
 
     @property
     def leaving(self) -> bool:
@@ -143,7 +151,18 @@
         """Return the versions by which packets are decided now."""
         return {
             'version': self._knowledge.version,
-            'revision': self._knowledge.content_revision,
+            'revision': positions.revision(self._knowledge.content_revision),
+            'era': positions.era(self._knowledge.content_revision),
+        }
+
+    @property
+    def _alert_inputs(self) -> dict[str, typing.Any]:
+        """Return which alerts are known, and which are heard of."""
+        newest = self._mesh.newest_alert
+        return {
+            'alerts_upto': positions.revision(self._knowledge.alerts_upto),
+            'newest_heard': positions.revision(newest),
+            'newest_era': positions.era(newest),
         }
 
     @abc.abstractmethod
@@ -198,6 +217,8 @@
         self._last_tick = now
         everybody = self._concerns_everybody(now)
         self._tell(self._mesh.due(now, everybody=everybody), now)
+        if self._knowledge.release_evacuations(now):
+            self._on_knowledge(now)
         self._exchange.pull_alerts(now)
         self._exchange.pull(now)
         self.read_if_due(now)
@@ -206,14 +227,13 @@
         self._note_age(now)
 
     def _note_age(self, now: float) -> None:
-        old = self._freshness.turned(now)
+        old = self._alerts_proof.turned(now)
         if old is None:
             return
         self._reporter.note(
             'alerts may be missing' if old else 'alerts current',
-            age_s=round(self._freshness.age_s(now), 2),
-            alerts_upto=self._knowledge.alerts_upto,
-            newest_heard=self._mesh.newest_alert,
+            age_s=round(self._alerts_proof.age_s(now), 2),
+            **self._alert_inputs,
             store_failing=self._store.failing,
             **self._flow_inputs,
         )
@@ -251,6 +271,7 @@
             return
         self._meters.counters['store_calls'] += 1
         self._called_at = now
+        self._called_knowing = self._knowledge.revision
         if step is reading.Step.READ_ALL:
             self._outlet.read_all()
         else:
@@ -266,36 +287,28 @@
             'leaves store to others' if why is None else 'reads store',
             why=why and why.value,
             rank=self._readers.rank,
-            proof_age_s=round(self._freshness.age_s(now), 2),
+            proof_age_s=round(self._readers.proof_age_s(now), 2),
             confirmed_ms=self._store.confirmed_ms(now),
-            alerts_upto=self._knowledge.alerts_upto,
-            newest_heard=self._mesh.newest_alert,
+            **self._alert_inputs,
             **self._flow_inputs,
         )
 
-    def note_store_era(self, era: int) -> None:
-        """Note of which era of the store's history an answer is."""
-        if era == self._store_era:
-            return
-        before, self._store_era = self._store_era, era
-        if before is not None:
-            self._meters.counters['store_eras_seen'] += 1
-        self._reporter.note(
-            'store era', before=before, era=era, **self._flow_inputs
-        )
-
     def store_answered(self, changes: records.Changes, now: float) -> None:
         """Take the answer of a call to the store."""
-        if self._store.answered(now):
-            self._reporter.note('store regained', **self._flow_inputs)
-        if changes.upto < self._knowledge.revision:
+        if changes.upto < self._called_knowing:
+            # Taken for an answer, it would count as proof, and the next call
+            # would follow at once, again and again.
             self._meters.counters['store_answers_behind'] += 1
-            self._reporter.note(
-                'store answer behind',
-                upto=changes.upto,
-                known=self._knowledge.revision,
-                **self._flow_inputs,
+            upto, known = changes.upto, self._called_knowing
+            self.store_failed(
+                f'covers revision {positions.revision(upto)} of era'
+                f' {positions.era(upto)}, {positions.revision(known)} of era'
+                f' {positions.era(known)} was known',
+                now,
             )
+            return
+        if self._store.answered(now):
+            self._reporter.note('store regained', **self._flow_inputs)
         changed = self._take(changes, SOURCE_STORE, now)
         self._reading.succeeded(now, changed=changed)
         self.read_if_due(now)
@@ -323,8 +336,10 @@
 
     def _take(self, changes: records.Changes, source: str, now: float) -> bool:
         before = self._knowledge.version
-        revision = self._knowledge.content_revision
+        known = self._knowledge.content_revision
+        era = positions.era(self._knowledge.revision)
         fresh = self._knowledge.apply(changes, now)
+        self._note_era(era, source)
         if not changes.since:
             self._whole_at = now
         # Before others are notified: they take the proof along.
@@ -332,16 +347,17 @@
             # A whole read covers what its first page does, not what came
             # while the others were on their way.
             whole = not changes.since
-            self._freshness.answered(self._called_at if whole else now)
-        self._freshness.caught_up(self._knowledge.alerts_upto)
+            at = self._called_at if whole else now
+            self._alerts_proof.answered(at)
+            self._version_proof.answered(at)
+        self._catch_up()
         if not fresh:
             return False
         self._reporter.note(
             'changes in force',
             source=source,
-            before=revision,
-            revision=self._knowledge.content_revision,
-            version=self._knowledge.version,
+            before=positions.revision(known),
+            **self._flow_inputs,
             new_version=self._knowledge.version != before,
             targets=len(self._knowledge.targets),
             entries=len(changes.targets),
@@ -358,19 +374,34 @@
             self._notify(2 * NOTIFIED if from_store else NOTIFIED, now)
         return True
 
+    def _note_era(self, before: int, source: str) -> None:
+        """Tell that what is known is of another era of the store."""
+        era = positions.era(self._knowledge.revision)
+        if era == before:
+            return
+        self._meters.counters['store_eras_seen'] += 1
+        self._reporter.note(
+            'store era', source=source, before=before, **self._flow_inputs
+        )
+
+    def _catch_up(self) -> None:
+        """Take over the proof that others have of what is known here."""
+        self._alerts_proof.caught_up(self._knowledge.alerts_upto)
+        self._version_proof.caught_up(self._knowledge.version)
+
     def _take_alerts(
         self, alerts: records.Alerts, source: str, now: float
     ) -> None:
         fresh = self._knowledge.apply_alerts(alerts, now)
-        self._freshness.caught_up(self._knowledge.alerts_upto)
+        self._catch_up()
         if not fresh:
             return
         self._reporter.note(
             'alerts in force',
             source=source,
             alerts=len(alerts.items),
-            since=alerts.since,
-            upto=alerts.upto,
+            since=positions.revision(alerts.since),
+            upto=positions.revision(alerts.upto),
             evacuated=sorted(self._knowledge.evacuated),
             **self._flow_inputs,
         )
@@ -421,7 +452,9 @@
             self._store.outage_ms(now),
             self._budget.slim,
             self._knowledge.alerted,
-            self._freshness.age_ms(now),
+            self._alerts_proof.age_ms(now),
+            self._knowledge.version,
+            self._version_proof.age_ms(now),
         )
 
     def _tell(
@@ -490,26 +523,39 @@
                 'process heard',
                 host=host,
                 balancer=heartbeat.is_balancer,
-                revision=heartbeat.revision,
+                revision=positions.revision(heartbeat.revision),
+                era=positions.era(heartbeat.revision),
             )
             if self._greets(peer, now) and not asked:
                 self._tell([peer], now)
         if heartbeat.alerted > self._knowledge.alerts_upto:
             self._exchange.pull_alerts(now, source=host)
-        if heartbeat.revision > self._knowledge.content_revision:
+        if (
+            heartbeat.revision > self._knowledge.content_revision
+            or heartbeat.version > self._knowledge.version
+        ):
             self._exchange.pull(now)
         self._on_heartbeat(peer, now)
 
     def _hear_proof(self, heartbeat: control.Heartbeat, now: float) -> None:
-        """Take over until when another process knows all alerts.
+        """Take over until when another process knows all of each kind.
 
         Not of what waited while this process stood still: its age counts from
         when it was sent, and would look younger than an alert that is missing.
         """
         if self.distrusts(now):
             return
-        known_at = self._freshness.hear(
-            heartbeat, now, alerts_upto=self._knowledge.alerts_upto
+        self._version_proof.hear(
+            heartbeat.version,
+            heartbeat.version_age_ms,
+            now,
+            known=self._knowledge.version,
+        )
+        known_at = self._alerts_proof.hear(
+            heartbeat.alerted,
+            heartbeat.alerts_age_ms,
+            now,
+            known=self._knowledge.alerts_upto,
         )
         if known_at is not None and known_at >= self._whole_at:
             self._knowledge.settle_alerts(heartbeat.alerted)
--- a/packages/teaseldock/teaseldock/packets/outlet.py
+++ b/packages/teaseldock/teaseldock/packets/outlet.py
@@ -50,5 +50,8 @@
         """Read all entries of the store; ends in a call of the node."""
 
     @abc.abstractmethod
-    def watch(self, revision: int) -> None:
-        """Wait for changes of the store after a revision."""
+    def watch(self, position: int) -> None:
+        """Wait for changes of the store after a position.
+
+        See :mod:`teaseldock.packets.positions`.
+        """
--- a/packages/teaseldock/teaseldock/packets/peer.py
+++ b/packages/teaseldock/teaseldock/packets/peer.py
@@ -57,6 +57,11 @@
         """Return up to which revision the process knows all alerts."""
         return self.heartbeat.alerted if self.heartbeat else 0
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration that the process uses."""
+        return self.heartbeat.version if self.heartbeat else 0
+
     @property
     def ignorant(self) -> bool:
         """Tell whether the process says that it knows nothing of the store."""
--- a/packages/teaseldock/teaseldock/packets/readers.py
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -70,7 +70,7 @@
         self,
         processes: mesh.Mesh,
         state: store_state.StoreState,
-        fresh: freshness.Freshness,
+        proofs: tuple[freshness.Freshness, ...],
         *,
         host: str,
         is_balancer: bool,
@@ -79,12 +79,13 @@
     ) -> None:
         """Start with this process among the others.
 
+        :param proofs: of all kinds of knowledge that must not get old.
         :param host: own IPv4 address.
         :param slim: whether the own link is too slow to read for others.
         """
         self._mesh = processes
         self._state = state
-        self._freshness = fresh
+        self._proofs = proofs
         self._is_balancer = is_balancer
         self._slim = slim
         self._own_rank = peers.reader_rank(host)
@@ -126,6 +127,10 @@
             wait_s += AGENT_SPREAD_S * self._own_rank[0] / 255
         return Why.NOBODY_READS if age_s > wait_s else None
 
+    def proof_age_s(self, now: float) -> float:
+        """Return the age of the oldest proof."""
+        return max(proof.age_s(now) for proof in self._proofs)
+
     def _relay_s(self) -> float:
         """Return the seconds that a confirmation takes beyond one round."""
         if len(self._mesh.balancers()) <= mesh.FAN_OUT:
@@ -144,7 +149,7 @@
         answers nobody, taking over by rank is enough.
         """
         relay_s = self._relay_s()
-        old = self._freshness.age_s(now) > PROOF_S + relay_s
+        old = self.proof_age_s(now) > PROOF_S + relay_s
         if not old or self._state.away(now, TAKEOVER_S + relay_s):
             self._old_since = None
             return False
--- a/packages/teaseldock/teaseldock/packets/route_table.py
+++ b/packages/teaseldock/teaseldock/packets/route_table.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from teaseldock.packets import positions
 from teaseldock.packets import records
 
 #: Dropped routes remembered for processes that lag; whoever lags further gets
@@ -75,13 +76,23 @@
     ) -> bool:
         """Take over a configuration; tell whether it is newer.
 
+        The operator's versions only rise, also where the store came back from
+        an older copy: the version that the copy holds is taken for old. The
+        same version at a later position is the one written again, and must be
+        told on to whoever began with the copy's.
+
         :param passed: addresses of routes that are gone by it, if they were
             ever here: they may have come and gone in between.
         """
-        if configuration.version <= self.version:
+        if configuration.version < self.version:
+            return False
+        if not self._is_later(configuration):
             return False
         routes = {route.address: route for route in configuration.routes}
-        if self._configuration is None:
+        known = self._configuration
+        if known is None or not positions.same_era(
+            known.revision, configuration.revision
+        ):
             self._known_since = configuration.revision
         for address, route in routes.items():
             if self._routes.get(address) != route:
@@ -103,6 +114,12 @@
         self._configuration = configuration
         return True
 
+    def _is_later(self, configuration: records.Configuration) -> bool:
+        known = self._configuration
+        if known is None or configuration.version > known.version:
+            return True
+        return configuration.revision > known.revision
+
     def _forget_dropped(self) -> None:
         while len(self._dropped) > DROPPED_KEPT:
             oldest = next(iter(self._dropped))
--- a/tests/packets/test_freshness.py
+++ b/tests/packets/test_freshness.py
@@ -20,9 +20,9 @@
 def test_who_lacks_an_alert_takes_no_proof_from_who_knows_it() -> None:
     """An age counts only where all alerts of its teller are known."""
     fresh = freshness.Freshness(100.0)
-    fresh.hear(heartbeat(8, 0), 110.0, alerts_upto=7)
+    fresh.hear(8, 0, 110.0, known=7)
     assert fresh.age_s(110.0) == 10.0
-    fresh.hear(heartbeat(7, 200), 110.0, alerts_upto=7)
+    fresh.hear(7, 200, 110.0, known=7)
     assert 0.2 <= fresh.age_s(110.0) < 0.5
 
 
@@ -36,8 +36,8 @@
     0.8 s later. Evidence: 183 of 195 processes read the store in that time.
     """
     fresh = freshness.Freshness(100.0)
-    fresh.hear(heartbeat(8, 200), 110.0, alerts_upto=7)
-    fresh.hear(heartbeat(9, 100), 110.1, alerts_upto=7)
+    fresh.hear(8, 200, 110.0, known=7)
+    fresh.hear(9, 100, 110.1, known=7)
     fresh.caught_up(7)
     assert fresh.age_s(110.2) > 10.0
     fresh.caught_up(8)
@@ -50,7 +50,7 @@
     """Of many alerts that are missing, the newest are kept."""
     fresh = freshness.Freshness(100.0)
     for alerted in range(8, 8 + 2 * freshness.CLAIMS_KEPT):
-        fresh.hear(heartbeat(alerted, 0), 110.0, alerts_upto=7)
+        fresh.hear(alerted, 0, 110.0, known=7)
     fresh.caught_up(8 + freshness.CLAIMS_KEPT - 1)
     assert fresh.age_s(110.0) == 10.0
     fresh.caught_up(8 + freshness.CLAIMS_KEPT)
@@ -101,8 +101,8 @@
     one.answered(100.0)
     for step in range(1, 60):
         now = 100.0 + step * 0.1
-        two.hear(heartbeat(0, one.age_ms(now)), now, alerts_upto=5)
-        one.hear(heartbeat(0, two.age_ms(now)), now, alerts_upto=5)
+        two.hear(0, one.age_ms(now), now, known=5)
+        one.hear(0, two.age_ms(now), now, known=5)
         assert one.age_s(now) >= now - 100.0 - 1e-6
         assert two.age_s(now) >= now - 100.0 - 1e-3
 
--- a/tests/packets/test_readers.py
+++ b/tests/packets/test_readers.py
@@ -216,3 +216,17 @@
     host = sorted(world.servers)[0]
     seconds = _seconds_until_known(world, world.processes[host], host)
     assert seconds < 2 * reading.LONGEST_RETRY_S
+
+
+def test_an_answer_from_before_what_was_known_is_no_proof() -> None:
+    """Guards against calls in a loop that look like fresh knowledge."""
+    world = packet_world.small_world(balancers=4, servers=6)
+    world.run(3.0)
+    known = world.store.revision
+    world.store.revision = 1
+    world.store.history_from = known + 1
+    calls = world.store.calls
+    world.run(4.0)
+    assert world.store.calls - calls <= 60
+    ages = [p.node.alerts_age_s for p in world.processes.values()]
+    assert min(ages) > 2.0
