Read the store in time for the operator's own bounds

What callers see: flows by old knowledge at a process whose one call to the store was lost.

Both bounds come with the settings now; own proof is read anew half a second before the shorter one at the latest, and the first failed call is tried again at once unless the store has answered nobody for long.

--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -79,6 +79,8 @@
             'randomness': random.Random(zlib.crc32(host.encode())),
             'now': world.now,
         }
+        if world.in_force_s is not None:
+            options['in_force_s'] = world.in_force_s
         if server is None:
             speed = world.links.get(host, world.link_mbps)
             if speed is not None:
@@ -162,13 +164,16 @@
         seed: int = 1,
         seeds: int = 2,
         link_mbps: float | None = None,
+        in_force_s: float | None = None,
     ) -> None:
         """Start a store and balancers; servers come by :meth:`add_server`.
 
         :param link_mbps: speed of the balancers' links; any if not given.
+        :param in_force_s: bound that processes are told; theirs if not given.
         """
         self.now = 100.0
         self.link_mbps = link_mbps
+        self.in_force_s = in_force_s
         #: Speeds of single balancers' links; for those that start later.
         self.links: dict[str, float] = {}
         self._link_free_at: collections.defaultdict[str, float] = (
--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -53,12 +53,14 @@
         randomness: random.Random,
         now: float,
         link_mbps: float = control_budget.UNKNOWN_LINK_MBPS,
+        in_force_s: float = readers.IN_FORCE_S,
     ) -> None:
         """Start knowing the seeds.
 
         :param host: own IPv4 address.
         :param seeds: hosts of balancers.
         :param link_mbps: speed of this instance's link, megabits a second.
+        :param in_force_s: seconds within which each change must be in force.
         :param now: seconds on a clock that never goes back.
         """
         self._host = host
@@ -87,6 +89,7 @@
             host=host,
             is_balancer=is_balancer,
             slim=self._budget.slim,
+            in_force_s=in_force_s,
             now=now,
         )
         self._exchange = exchanging.Exchange(
@@ -322,11 +325,14 @@
     def store_failed(self, problem: str, now: float) -> None:
         """Note a call to the store without a usable answer."""
         self._meters.counters['store_failures'] += 1
-        if self._store.failed(now):
+        first = self._store.failed(now)
+        if first:
             self._reporter.note(
                 'store lost', problem=problem, **self._flow_inputs
             )
-        probes = self._readers.probes(now, leaving=self._leaving)
+        # A single lost answer must not cost the whole time that a change has.
+        probes = first and not self._readers.store_away(now)
+        probes = probes or self._readers.probes(now, leaving=self._leaving)
         self._reading.failed(now, probes=probes)
 
     def entry_refused(self, problem: str) -> None:
--- a/packages/teaseldock/teaseldock/packets/readers.py
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -54,6 +54,15 @@
 PROOF_SPREAD_S = 0.15
 
 
+#: Seconds within which each change must be in force where the operator does
+#: not say: the shortest that users ask for.
+IN_FORCE_S = 3.0
+#: Seconds that reading the store for one's own proof takes at the most, of
+#: those above: the spread, a tick, two calls to a store that is 60 times
+#: slower than usual where it lost its history, and a request's own way.
+READ_ROOM_S = 0.5
+
+
 class Why(enum.Enum):
     """Why a process reads the store."""
 
@@ -76,18 +85,21 @@
         is_balancer: bool,
         slim: bool,
         now: float,
+        in_force_s: float = IN_FORCE_S,
     ) -> None:
         """Start with this process among the others.
 
         :param proofs: of all kinds of knowledge that must not get old.
         :param host: own IPv4 address.
         :param slim: whether the own link is too slow to read for others.
+        :param in_force_s: seconds within which each change must be in force.
         """
         self._mesh = processes
         self._state = state
         self._proofs = proofs
         self._is_balancer = is_balancer
         self._slim = slim
+        self._latest_read_s = in_force_s - READ_ROOM_S
         self._own_rank = peers.reader_rank(host)
         self._started = now
         self._rank = 0
@@ -148,9 +160,10 @@
         decides, and the wait doesn't grow with the fleet. While the store
         answers nobody, taking over by rank is enough.
         """
-        relay_s = self._relay_s()
-        old = self.proof_age_s(now) > PROOF_S + relay_s
-        if not old or self._state.away(now, TAKEOVER_S + relay_s):
+        usual_s = PROOF_S + self._relay_s()
+        limit_s = min(usual_s, self._latest_read_s)
+        old = self.proof_age_s(now) > limit_s
+        if not old or self.store_away(now):
             self._old_since = None
             return False
         if self._old_since is None:
@@ -158,6 +171,10 @@
         wait_s = PROOF_SPREAD_S * self._own_rank[0] / 255
         return now - self._old_since >= wait_s
 
+    def store_away(self, now: float) -> bool:
+        """Tell whether the store has answered nobody for long."""
+        return self._state.away(now, TAKEOVER_S + self._relay_s())
+
     def _starts_cold(self, now: float) -> bool:
         """Tell whether an agent should read because nobody has read yet.
 
--- a/tests/packets/test_readers.py
+++ b/tests/packets/test_readers.py
@@ -230,3 +230,55 @@
     assert world.store.calls - calls <= 60
     ages = [p.node.alerts_age_s for p in world.processes.values()]
     assert min(ages) > 2.0
+
+
+@pytest.mark.parametrize('balancers', [4, 20])
+@pytest.mark.parametrize('in_force_s', [3.0, 5.0])
+@pytest.mark.parametrize('lost_calls', [0, 1])
+def test_own_read_keeps_the_bound_that_the_operator_set(
+    balancers: int, in_force_s: float, lost_calls: int
+) -> None:
+    """Guards against windows that ignore the deployment's bounds."""
+    world = packet_world.small_world(
+        balancers=balancers, servers=2 * balancers, in_force_s=in_force_s
+    )
+    host = sorted(world.servers)[3]
+    process = world.processes[host]
+    world.run(3.0)
+    _never_told(process)
+    _lose_calls(world, process, lost_calls)
+    assert _seconds_until_known(world, process, host) <= in_force_s
+
+
+def _lose_calls(
+    world: packet_world.World, process: packet_world.Process, count: int
+) -> None:
+    """Let the store's next answers to a process be lost."""
+    call = world.store.call
+    left = [count]
+
+    def call_or_lose(caller, revision):
+        if caller is process and left[0]:
+            left[0] -= 1
+            world.after(0.01, lambda: caller.node.store_failed('x', world.now))
+            return
+        call(caller, revision)
+
+    world.store.call = call_or_lose
+
+
+@pytest.mark.parametrize('change', ['moved', 'added'])
+def test_an_agent_that_gets_no_changes_knows_a_version_in_time(
+    change: str,
+) -> None:
+    """Guards against proof of alerts being taken for proof of all."""
+    world = packet_world.small_world(balancers=4, servers=13)
+    world.run(3.0)
+    process = world.processes[sorted(world.servers)[3]]
+    process.node._exchange.on_changes = lambda *_: None
+    routes = [packet_world.route('tickets')]
+    if change == 'added':
+        routes = [packet_world.route('dispatch', port=p) for p in (443, 2000)]
+    world.store.configure(2, routes)
+    world.run(KNOWN_AMONG_FEW_S)
+    assert process.node.knowledge.version == 2
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -41,6 +41,12 @@
     assert values.endpoint('ready').port == 8167
 
 
+def test_the_shorter_bound_counts(tmp_path: pathlib.Path) -> None:
+    """Guards against windows that ignore one of the operator's bounds."""
+    bounds = {'configured_within_ms': 5000, 'drained_within_ms': 3000}
+    assert read(tmp_path, {**VALUES, **bounds}).in_force_s == 3.0
+
+
 @pytest.mark.parametrize(
     'change',
     [
@@ -48,6 +54,8 @@
         {'seeds': 'x'},
         {'internal_port': None},
         {'link_mbps': 0},
+        {'configured_within_ms': 400},
+        {'drained_within_ms': 0},
     ],
 )
 def test_a_wrong_field_is_named(tmp_path: pathlib.Path, change: dict) -> None:
