--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 
 #: Seconds between two faults.
 _GAP_S = (0.2, 1.5)
+#: Seconds after its return in which the store drops entries of dead servers.
+_EXPIRE_S = 2.0
 
 
 class Faults:
@@ -42,6 +44,7 @@
             self._foreign_entry,
             self._store,
             self._compact,
+            self._come_back,
             self._configure,
             self._configure_many,
             self._evacuate,
@@ -136,6 +139,28 @@
     async def _compact(self) -> None:
         self._world.store.compact()
 
+    async def _come_back(self) -> None:
+        """Lose the last seconds of the store, which is away for a moment."""
+        copy = self._world.store.copy()
+        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        for proxy in self._world.proxies:
+            proxy.mode = 'refuse'
+            proxy.cut()
+        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        self._world.store.come_back(copy)
+        for proxy in self._world.proxies:
+            proxy.mode = 'pass'
+        await asyncio.sleep(self._random.uniform(0.0, 0.5))
+        self._world.publish_again()
+        for server in self._world.servers:
+            await asyncio.sleep(
+                self._random.uniform(0.0, 2.0) / len(self._world.servers)
+            )
+            server.register_again()
+        await asyncio.sleep(_EXPIRE_S)
+        self._world.expire_entries()
+        self._world.store_disturbed_at = time.monotonic()
+
     async def _configure(self) -> None:
         self._world.configure()
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -115,6 +115,11 @@
         """Write the entry of a server that serves."""
         self._register(leaving=False)
 
+    def register_again(self) -> None:
+        """Write the entry as it was, for a store that lost it."""
+        if self.up:
+            self._register(leaving=self.draining_since is not None)
+
     def _register(self, *, leaving: bool) -> float:
         entry = documents.server_entry(
             service=self.service,
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import time
+import typing
 
 from soak import callers
 from soak import faults
@@ -51,6 +52,7 @@
         self.routes: dict[int, list[tuple[float, bool]]] = {}
         self.evacuations: dict[str, list[tuple[float, bool]]] = {}
         self._version = 0
+        self._published: dict[str, typing.Any] = {}
         self._idle_routes = 0
         address = (network.host(4, 1), network.CONTROL_PORT)
         self._store_address = address
@@ -103,10 +105,8 @@
                 for number in range(self._idle_routes)
             ),
         ]
-        at = self.store.put(
-            documents.CONFIGURATION_KEY,
-            documents.configuration(self._version, routes),
-        )
+        self._published = documents.configuration(self._version, routes)
+        at = self.store.put(documents.CONFIGURATION_KEY, self._published)
         self.routes.setdefault(port, []).append((at, True))
         for number in dropped:
             self.routes[number].append((at, False))
@@ -128,6 +128,24 @@
         if not states or states[-1][1] is not active:
             states.append((at, active))
 
+    def publish_again(self) -> None:
+        """Write what the operator wants, for a store that lost it."""
+        self.store.put(documents.CONFIGURATION_KEY, self._published)
+        for name, states in self.evacuations.items():
+            key = documents.evacuation_key(name)
+            if states[-1][1]:
+                self.store.put(key, {})
+            else:
+                self.store.remove(key)
+
+    def expire_entries(self) -> None:
+        """Remove entries of servers that don't run any more."""
+        living = {server.key for server in self.servers if server.up}
+        mine = documents.server_key('i-')
+        for key in list(self.store.items):
+            if key.startswith(mine) and key not in living:
+                self.store.remove(key)
+
     async def run(self) -> None:
         """Play the soak."""
         self.store.start(self._store_address)
