Probe all dead members soon once one of them is heard again

What callers saw: orders that ended as "outcome unknown" in the two to three seconds after a cut, though none ran.

Cause: a dead member was probed in its turn only, with one chance in four.

Now, when a dead member is heard, all others that count as dead are probed once, two at each tick, no more often than each half second.

test_all_are_taken_back_soon_after_a_cut failed before.

--- a/packages/teaseldock/teaseldock/membership.py
+++ b/packages/teaseldock/teaseldock/membership.py
@@ -26,6 +26,8 @@
 RELAYS_AT_ONCE = 40
 #: Chance that a dead member is probed when its turn comes.
 DEAD_PROBE_CHANCE = 0.25
+#: Dead members probed at each tick once one of them was heard again.
+RETURNS_PER_TICK = 2
 #: A gap between ticks beyond this is a pause of this process.
 PAUSE_S = 1.0
 
@@ -62,6 +64,8 @@
         self._fresh_after = now + 2 * PROBE_INTERVAL_S
         self._fresh = False
         self._pauses = 0
+        self._may_be_back: list[str] = []
+        self._look_for_returns_at = now
 
     @property
     def roster(self) -> roster.Roster:
@@ -93,6 +97,7 @@
             # Nobody answered: alone after a cut, the old view is the best.
             self._fresh = True
         actions = self._expire_probe(now, heartbeat)
+        actions += self._probe_returns(heartbeat)
         self._roster.expire_suspicions(now)
         if now >= self._next_probe:
             self._next_probe = now + PROBE_INTERVAL_S
@@ -103,6 +108,7 @@
         self, message: typing.NamedTuple, now: float, heartbeat: Heartbeat
     ) -> list[messages.ToPeer]:
         """Handle Ping, Ack, PingRequest or Vouch."""
+        self._note_return(message.sender.name, now)
         self._roster.hear(message.sender, now)
         match message:
             case messages.Ping():
@@ -115,6 +121,32 @@
                 self._on_vouch(message, now)
         return []
 
+    def _note_return(self, name: str, now: float) -> None:
+        """Probe all dead members soon if one of them is heard.
+
+        It was behind a cut, and others were with it. Probed in their turn
+        only, some count as dead for seconds after the cut, in which what they
+        alone may run ends as "outcome unknown".
+        """
+        member = self._roster.get(name)
+        if member is None or member.health != messages.Health.DEAD:
+            return
+        if now < self._look_for_returns_at:
+            return
+        self._look_for_returns_at = now + PROBE_INTERVAL_S
+        self._may_be_back = sorted(self._roster.dead)
+        self._random.shuffle(self._may_be_back)
+
+    def _probe_returns(self, heartbeat: Heartbeat) -> list[messages.ToPeer]:
+        names = self._may_be_back[:RETURNS_PER_TICK]
+        del self._may_be_back[:RETURNS_PER_TICK]
+        members = [self._roster.get(name) for name in names]
+        return [
+            self._ping(0, member, heartbeat)
+            for member in members
+            if member and member.health == messages.Health.DEAD
+        ]
+
     def _on_pause(self, now: float) -> None:
         # A paused process finds all answers missing at once. Without this
         # guard it would declare the whole region dead on waking, which shows
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -61,6 +61,16 @@
         assert believed(small, name) == {messages.Health.ALIVE}
 
 
+def test_all_are_taken_back_soon_after_a_cut(small: world.World) -> None:
+    """Guards against members that count as dead for seconds after a cut."""
+    small.part(['dispatch-1', 'dispatch-2', 'balancer-1'])
+    small.run_until(small.now + 15.0)
+    small.part([])
+    small.run_until(small.now + 2.0)
+    for name in small.processes:
+        assert believed(small, name) == {messages.Health.ALIVE}
+
+
 def test_a_restart_under_an_old_clock_is_heard(small: world.World) -> None:
     """A process whose clock went back over a restart is not its own past."""
     entry = small.register['instances'][0]
