Tell a return of the store once a process, and not at its start

The line `store era` and its counter also came with the first read of a process, so that each start looked like a return.

--- a/packages/teaseldock/teaseldock/packets/node.py
+++ b/packages/teaseldock/teaseldock/packets/node.py
@@ -343,9 +343,9 @@
     def _take(self, changes: records.Changes, source: str, now: float) -> bool:
         before = self._knowledge.version
         known = self._knowledge.content_revision
-        era = positions.era(self._knowledge.revision)
+        upto = self._knowledge.revision
         fresh = self._knowledge.apply(changes, now)
-        self._note_era(era, source)
+        self._note_era(upto, source)
         if not changes.since:
             self._whole_at = now
         # Before others are notified: they take the proof along.
@@ -381,13 +381,19 @@
         return True
 
     def _note_era(self, before: int, source: str) -> None:
-        """Tell that what is known is of another era of the store."""
-        era = positions.era(self._knowledge.revision)
-        if era == before:
+        """Tell that what is known is of another era of the store.
+
+        :param before: position that was known, 0 for nothing.
+        """
+        known = self._knowledge.revision
+        if not before or positions.same_era(before, known):
             return
         self._meters.counters['store_eras_seen'] += 1
         self._reporter.note(
-            'store era', source=source, before=before, **self._flow_inputs
+            'store era',
+            source=source,
+            before=positions.era(before),
+            **self._flow_inputs,
         )
 
     def _catch_up(self) -> None:
--- a/tests/packets/test_older_copy.py
+++ b/tests/packets/test_older_copy.py
@@ -262,3 +262,15 @@
     assert who_lacks_version(world) == []
     for process in world.processes.values():
         assert packet_copies.is_alike(process), process.host
+
+
+def test_each_process_tells_a_return_once() -> None:
+    """Guards against logs in which a start looks like a return."""
+    world = packet_world.small_world(balancers=3, servers=4)
+    world.run(2.0)
+    assert world.events('store era') == []
+    lose(world, 1.0)
+    world.run(STABLE_S)
+    lines = world.events('store era')
+    assert len(lines) == len(world.processes)
+    assert {(line['before'], line['era']) for line in lines} == {(0, 1)}
