Say what the room for reading the store consists of

The comment counted two calls to a slow store, for which half a second is too little; it is one (0.24 s), the spread, a tick and a request's way. Where the store has also lost its history, the second call comes on top.

--- a/packages/teaseldock/teaseldock/packets/readers.py
+++ b/packages/teaseldock/teaseldock/packets/readers.py
@@ -58,8 +58,8 @@
 #: not say: the shortest that users ask for.
 IN_FORCE_S = 3.0
 #: Seconds that reading the store for one's own proof takes at the most, of
-#: those above: the spread, a tick, two calls to a store that is 60 times
-#: slower than usual where it lost its history, and a request's own way.
+#: those above: the spread, a tick, a call to a store that is 60 times slower
+#: than usual, and a request's own way.
 READ_ROOM_S = 0.5
 
 
