Take removals over before entries written again

What callers see: a server that serves gets no new flows at some processes.

Cause: of an answer with both, the entry written again was compared with the one from before, said only that it is warmer, and was dropped as no news; then the removal in between took the former away. The new test failed before.

--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -256,10 +256,12 @@
         complete = changes.since == 0 and changes.upto >= self._revision
         rewound = complete and self._begin_era(changes, now)
         fresh = self._apply_configuration(changes) or rewound
-        for target in changes.targets:
-            fresh = self._put(target, now, complete=complete) or fresh
+        # Removals first: an entry that expired and was written again may say
+        # no more than that the warm-up goes on, and would count as no news.
         for removal in changes.removals:
             fresh = self._remove(removal, now) or fresh
+        for target in changes.targets:
+            fresh = self._put(target, now, complete=complete) or fresh
         fresh = self._evacuate(changes, complete=complete) or fresh
         if complete:
             fresh = self._drop_unlisted(changes, now) or fresh
--- a/tests/packets/test_knowledge.py
+++ b/tests/packets/test_knowledge.py
@@ -294,3 +294,14 @@
     assert [item.subject for item in alerts.items] == ['a']
     lagging.apply(jumped.changes_since(lagging.content_revision), 2.0)
     assert 'a' not in lagging.targets
+
+
+def test_an_entry_removed_and_written_again_in_one_answer_stays() -> None:
+    """Guards against a server that serves and gets no flows ever again."""
+    known = knowledge.Knowledge()
+    first = target('a', 5, warmup_ms=2000)
+    known.apply(records.Changes(0, 5, [first], [], config(1, 1)), 0.0)
+    again = target('a', 9, warmup_ms=1000)
+    gone = records.Removal('a', 7)
+    known.apply(records.Changes(5, 9, [again], [gone], None), 1.0)
+    assert known.targets == {'a': again}
