Take only the store's next event for no news, not what others tell

What callers see: new flows at a server that had said it leaves, through a process that had proof of all alerts; or a server that serves and gets no new flows at some processes, for good.

Cause: an entry that differed from the known one only in a shorter warm-up was dropped as no news, whoever told it, and no alert was kept of it. A process that knew "leaves" of 2 and was told "leaves" of 4 kept 2; it had missed that the server was ready at 3. Whoever knew that asked it for what came after 3 and got nothing, with proof up to 4. The same with ready, leaves, ready; and with an entry that goes and comes back between two pages of a read.

So what was kept of an entry hung on what its keeper happened to know before. Now it doesn't: an entry is kept under the revision of its last change of substance, and only the store's own next event, which follows on what is known, may be left out as "only warmer". Whatever others tell or a whole read shows that is newer than what is known here is taken as it is, and each entry that leaves is an alert. Who knows a revision knows what every entry was then; what is told between two revisions follows from them alone.

Dropping nothing at all was not tried again: it was what made alerts late by 6 s once.

--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -256,12 +256,11 @@
         complete = changes.since == 0 and changes.upto >= self._revision
         rewound = complete and self._begin_era(changes, now)
         fresh = self._apply_configuration(changes) or rewound
-        # Removals first: an entry that expired and was written again may say
-        # no more than that the warm-up goes on, and would count as no news.
-        for removal in changes.removals:
-            fresh = self._remove(removal, now) or fresh
-        for target in changes.targets:
-            fresh = self._put(target, now, complete=complete) or fresh
+        for item in changes.in_order():
+            if isinstance(item, records.Removal):
+                fresh = self._remove(item, now) or fresh
+            elif not (changes.is_history and self._is_no_news(item)):
+                fresh = self._put(item, now, complete=complete) or fresh
         fresh = self._evacuate(changes, complete=complete) or fresh
         if complete:
             fresh = self._drop_unlisted(changes, now) or fresh
@@ -425,12 +424,10 @@
         known = self._entries.get(target.identifier)
         if known is not None and known.revision >= target.revision:
             return False
-        if known is not None and self._is_no_news(known, target):
-            return False
-        removed = target.revision <= self._revision and not complete
-        if known is None and removed:
-            # All entries up to our revision are known here: it has been
-            # removed since, and whoever sent it had not heard of that yet.
+        if target.revision <= self._revision and not complete:
+            # What became of it up to our revision is known here: it has been
+            # removed since, or has but become warmer, and whoever sent it had
+            # not heard of that yet.
             return False
         self._vanished.pop(target.run, None)
         if known is not None and known.place != target.place:
@@ -438,7 +435,7 @@
             self._vanished[known.run] = Vanished(known, now, False)
         if target.host not in self._hosts:
             self._note_layout(target.revision)
-        if target.draining and not (known and known.draining):
+        if target.draining:
             self._note_alert(
                 records.AlertKind.LEAVES, target.identifier, target.revision
             )
@@ -474,15 +471,17 @@
         self._removals.append(removal)
         self._note_revision(removal.revision)
 
-    def _is_no_news(
-        self, known: records.Target, target: records.Target
-    ) -> bool:
-        """Tell whether a later entry need not be kept or told to others."""
-        if not positions.same_era(known.revision, target.revision):
+    def _is_no_news(self, later: records.Target) -> bool:
+        """Tell whether an entry need not be kept or told to others.
+
+        Only for the next event of the store's history: an entry that others
+        tell may have been something else in between, which a process that
+        heard of that is never told to be over.
+        """
+        known = self._entries.get(later.identifier)
+        if known is None or self._departures.is_alerted(known):
             return False
-        return known.only_warmer(target) and not self._departures.is_alerted(
-            known
-        )
+        return known.only_warmer(later)
 
     def _note_revision(self, revision: int) -> None:
         self._content_revision = max(self._content_revision, revision)
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -270,3 +270,17 @@
     newest: int = 0
     evacuations: tuple[Evacuation, ...] = ()
     alerts_since: int = 0
+
+    @property
+    def is_history(self) -> bool:
+        """Tell whether these are all events that the store saw since then.
+
+        Of what another process tells, or a read of all shows, it isn't known
+        what an entry was in between.
+        """
+        return self.since > 0 and not self.newest
+
+    def in_order(self) -> list[Target | Removal]:
+        """Return what was written and removed as it came one after another."""
+        items = [*self.removals, *self.targets]
+        return sorted(items, key=lambda item: item.revision)
