Take each event of an answer in its order, also what a later one replaced

What callers see: a server that left while a process could not reach the store gets new flows there for two seconds after the store answers it again, though its entry is gone and its address may be another's.

The translation kept the last event of each key. A server that said it leaves and was gone by the time of the answer counted as one whose entry had lapsed for want of the store, and lapsed servers stay usable after an outage; one that went and came back between two answers counted as only warmer, and the alert of its removal was never kept.

Answers keep what later events replaced, apart (fields superseded and superseded_removals, empty in what processes tell each other: two bytes), so that targets and removals stay the last of each key, as two tests hold. Knowledge takes all by revision.

--- a/bench/packet_store.py
+++ b/bench/packet_store.py
@@ -301,6 +301,18 @@
             configuration,
             evacuations=tuple(evacuations.values()),
             alerts_since=max([since, *jumped]),
+            superseded=tuple(
+                item
+                for item in news
+                if isinstance(item, records.Target)
+                and latest[item.identifier] is not item
+            ),
+            superseded_removals=tuple(
+                item
+                for item in news
+                if isinstance(item, records.Removal)
+                and latest[item.identifier] is not item
+            ),
         )
 
     def _wake(self) -> None:
--- a/packages/teaseldock/teaseldock/packets/records.py
+++ b/packages/teaseldock/teaseldock/packets/records.py
@@ -259,6 +259,9 @@
     :ivar evacuations: of data centres, requested or taken back.
     :ivar alerts_since: revision after which no alert is missing here; before
         it, an entry or a route may have come and gone unseen.
+    :ivar superseded: entries written that something later here replaced; from
+        the store only, as are the next.
+    :ivar superseded_removals: entries removed that were written again.
     """
 
     since: int
@@ -270,6 +273,8 @@
     newest: int = 0
     evacuations: tuple[Evacuation, ...] = ()
     alerts_since: int = 0
+    superseded: tuple[Target, ...] = ()
+    superseded_removals: tuple[Removal, ...] = ()
 
     @property
     def is_history(self) -> bool:
@@ -282,5 +287,10 @@
 
     def in_order(self) -> list[Target | Removal]:
         """Return what was written and removed as it came one after another."""
-        items = [*self.removals, *self.targets]
+        items = [
+            *self.removals,
+            *self.superseded_removals,
+            *self.targets,
+            *self.superseded,
+        ]
         return sorted(items, key=lambda item: item.revision)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -269,3 +269,16 @@
     assert result.configuration.cold_limits == (
         records.ColdLimit('one', 2000, 7.5),
     )
+
+
+def test_what_later_events_replaced_is_kept_too() -> None:
+    """Guards against a server that left and is taken for one that lapsed."""
+    gone = documents.Item('servers/i-1', 6, tombstone=True)
+    seen = changes(
+        [item('servers/i-1', TARGET, 5), gone, item('servers/i-1', TARGET, 7)],
+        [],
+    )
+    assert [entry.revision for entry in seen.targets] == [7]
+    assert [entry.revision for entry in seen.superseded] == [5]
+    assert [r.revision for r in seen.superseded_removals] == [6]
+    assert [entry.revision for entry in seen.in_order()] == [5, 6, 7]
