Split vanished targets, removals and the registry off what is known

knowledge.py held six jobs in 555 lines: entries, removals for those that lag, targets that vanished, views by service and instance, alerts, eras. What targets get new flows is decided in one place.

--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -10,44 +10,23 @@
 
 from __future__ import annotations
 
-import collections
-import typing
-
 from teaseldock.packets import alerts as alert_logs
 from teaseldock.packets import departures
 from teaseldock.packets import evacuations
 from teaseldock.packets import positions
 from teaseldock.packets import records
+from teaseldock.packets import registry
+from teaseldock.packets import removals
 from teaseldock.packets import route_table
+from teaseldock.packets import vanishing
 
-#: Removals remembered for peers that lag; a peer that lags further gets all
-#: entries. Ten times the largest fleet of targets that one process serves.
-REMOVALS_KEPT = 600
 #: Routes dropped at once that alerts are sent for: all that an operator drops
 #: by hand. More of them come as fast with the other changes, as one list.
 ROUTES_ALERTED = 50
-#: Seconds for which an entry that vanished without a drain stays usable: the
-#: users' two seconds until a missing entry counts as gone.
-LAPSE_GRACE_S = 2.0
 #: Seconds within which the operator and the servers have written again what
 #: a store that came back from an older copy lacks: a heartbeat of a server
 #: and the way of its entry.
 REWRITTEN_S = 4.0
-#: Seconds for which a vanished target may still hold flows.
-VANISHED_KEPT_S = 20.0
-
-
-class Vanished(typing.NamedTuple):
-    """A target whose entry was removed.
-
-    :ivar target: its last entry.
-    :ivar at: when the removal became known here, seconds.
-    :ivar expired: whether it may have expired for want of the store.
-    """
-
-    target: records.Target
-    at: float
-    expired: bool
 
 
 class Knowledge:
@@ -58,10 +37,8 @@
         # All entries as they were published, and those of services that the
         # configuration names as they are by newer alerts.
         self._entries: dict[str, records.Target] = {}
-        self._targets: dict[str, records.Target] = {}
+        self._registry = registry.Registry()
         self._departures = departures.Departures()
-        self._services: dict[str, list[records.Target]] = {}
-        self._placeable: dict[str, list[records.Target]] = {}
         self._evacuations = evacuations.Evacuations()
         self._alerts = alert_logs.AlertLog()
         self._alerts_upto = 0
@@ -69,16 +46,12 @@
         # a whole read tells of no entry that is gone.
         self._alerts_floor = 0
         self._wants_all = False
-        self._removals: collections.deque[records.Removal] = collections.deque(
-            maxlen=REMOVALS_KEPT
-        )
-        self._vanished: dict[tuple[str, int], Vanished] = {}
+        self._removals = removals.RemovalLog()
+        self._vanished = vanishing.VanishedTargets()
         self._table = route_table.RouteTable()
         self._revision = 0
         self._content_revision = 0
         self._layout_revision = 0
-        self._hosts: set[str] = set()
-        self._removals_since = 0
         self._changed_at = 0.0
 
     @property
@@ -167,12 +140,12 @@
         writers leave such entries in the store. Its address answers nobody,
         so that searches would wait for it.
         """
-        return self._targets
+        return self._registry.targets
 
     @property
     def unnamed(self) -> set[str]:
         """Return entries whose service the configuration doesn't name."""
-        return self._entries.keys() - self._targets.keys()
+        return self._entries.keys() - self.targets.keys()
 
     def route(self, address: bytes) -> records.Route | None:
         """Return the route of a packed address and port, or None."""
@@ -180,14 +153,14 @@
 
     def of_service(self, service: str) -> list[records.Target]:
         """Return the registered targets of a service."""
-        return self._services.get(service, [])
+        return self._registry.of_service(service)
 
     def placeable(self, service: str) -> list[records.Target]:
         """Return the targets of a service that may get new flows.
 
         Those that leave don't, nor those in an evacuated data centre.
         """
-        return self._placeable.get(service, [])
+        return self._registry.placeable(service)
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -203,15 +176,11 @@
 
     def is_registered(self, host: str) -> bool:
         """Tell whether any target is registered on an instance."""
-        return host in self._hosts
+        return host in self._registry.hosts
 
-    def vanished(self, now: float) -> list[Vanished]:
+    def vanished(self, now: float) -> list[vanishing.Vanished]:
         """Return the targets that vanished a short while ago."""
-        return [
-            item
-            for item in self._vanished.values()
-            if now - item.at < VANISHED_KEPT_S
-        ]
+        return self._vanished.recent(now)
 
     def lapsed_of(self, service: str, now: float) -> list[records.Target]:
         """Return targets whose entries expired a moment ago.
@@ -224,13 +193,11 @@
         expired.
         """
         return [
-            item.target
-            for item in self.vanished(now)
-            if item.target.service == service
-            and item.expired
-            and now - item.at < LAPSE_GRACE_S
-            and self._may_get_flows(item.target)
-            and item.target.host not in self._hosts
+            target
+            for target in self._vanished.lapsed(now)
+            if target.service == service
+            and self._registry.may_get_flows(target)
+            and target.host not in self._registry.hosts
         ]
 
     def apply(self, changes: records.Changes, now: float) -> bool:
@@ -270,7 +237,7 @@
             # Nothing in the copy has a position of its own; others must ask.
             self._note_revision(changes.upto)
         if complete:
-            self._removals_since = changes.upto
+            self._removals.begin(changes.upto)
             if changes.upto > self._alerts_upto:
                 self._alerts_floor = changes.upto
         # A read of all tells of nothing that came and went before it.
@@ -305,7 +272,7 @@
         self._departures.remember(leaving, changes.upto)
         self._evacuations.hold(now + REWRITTEN_S, changes.upto)
         self._alerts.restart(changes.upto)
-        self._removals.clear()
+        self._removals.restart()
         return True
 
     def release_evacuations(self, now: float) -> bool:
@@ -413,9 +380,6 @@
             for kind in (records.AlertKind.GONE, records.AlertKind.OVERWRITTEN)
         )
 
-    def _may_get_flows(self, target: records.Target) -> bool:
-        return not target.draining and target.data_centre not in self.evacuated
-
     def _put(
         self, target: records.Target, now: float, *, complete: bool
     ) -> bool:
@@ -429,11 +393,11 @@
             # removed since, or has but become warmer, and whoever sent it had
             # not heard of that yet.
             return False
-        self._vanished.pop(target.run, None)
+        self._vanished.discard(target.run)
         if known is not None and known.place != target.place:
             # The former run may hold flows where it was.
-            self._vanished[known.run] = Vanished(known, now, False)
-        if target.host not in self._hosts:
+            self._vanished.add(known, now, expired=False)
+        if not self.is_registered(target.host):
             self._note_layout(target.revision)
         if target.draining:
             self._note_alert(
@@ -454,8 +418,10 @@
             return False
         del self._entries[removal.identifier]
         self._keep_removal(removal)
-        self._vanished[known.run] = Vanished(
-            self._departures.applied(known), now, not removal.overwritten
+        self._vanished.add(
+            self._departures.applied(known),
+            now,
+            expired=not removal.overwritten,
         )
         return True
 
@@ -463,12 +429,7 @@
         """Keep a removal for processes that lag, unless it is kept."""
         if not self._alerts.note(alert_logs.of_removal(removal)):
             return
-        if len(self._removals) == REMOVALS_KEPT:
-            # Alerts come out of order: the first is not always the oldest.
-            self._removals_since = max(
-                self._removals_since, self._removals[0].revision
-            )
-        self._removals.append(removal)
+        self._removals.add(removal)
         self._note_revision(removal.revision)
 
     def _is_no_news(self, later: records.Target) -> bool:
@@ -503,31 +464,19 @@
         self._changed_at = now
         configuration = self._table.configuration
         named = configuration and set(configuration.services)
-        self._targets = {
-            name: self._departures.applied(target)
-            for name, target in self._entries.items()
+        targets = [
+            self._departures.applied(target)
+            for target in self._entries.values()
             if named is None or target.service in named
-        }
-        services: dict[str, list[records.Target]] = {}
-        for target in self._targets.values():
-            services.setdefault(target.service, []).append(target)
-        self._services = services
-        self._placeable = {
-            name: [item for item in targets if self._may_get_flows(item)]
-            for name, targets in services.items()
-        }
-        self._hosts = {target.host for target in self._targets.values()}
-        self._vanished = {
-            name: item
-            for name, item in self._vanished.items()
-            if now - item.at < VANISHED_KEPT_S
-        }
+        ]
+        self._registry = registry.Registry(targets, self.evacuated)
+        self._vanished.prune(now)
         runs = {item.run for item in self._entries.values()}
-        self._departures.keep_only(runs | self._vanished.keys())
+        self._departures.keep_only(runs | self._vanished.runs)
 
     def changes_since(self, revision: int) -> records.Changes:
         """Return what a peer at a revision lacks."""
-        if revision < self._removals_since:
+        if revision < self._removals.since:
             revision = 0
         configuration = self._table.configuration
         change = None
@@ -546,7 +495,7 @@
             revision,
             self._revision,
             [t for t in self._entries.values() if t.revision > revision],
-            [r for r in self._removals if r.revision > revision],
+            self._removals.after(revision),
             configuration,
             change,
             self.content_revision,
