Let a member that spoke a moment ago deny that it is dead

What callers see: "outcome unknown" for orders and feeds' requests that ran, in the half second after a cut, on the side that was well all the time.

Cause: others' word "dead" went before one's own evidence: all that were on the other side of a cut count as dead there, and that news is as new as one's own.

Now a member that was heard within the time that suspects have (1.5 s) becomes a suspect by others' word, is told at once, and is dead only if it doesn't deny it in time. Who hasn't spoken lately is dead at once as before, so that true deaths are known as soon.

--- a/packages/teaseldock/teaseldock/agent.py
+++ b/packages/teaseldock/teaseldock/agent.py
@@ -160,6 +160,9 @@
         self, message: typing.NamedTuple, now: float
     ) -> list[messages.Action]:
         """Handle a message of another process."""
+        sender = getattr(message, 'sender', None)
+        if isinstance(sender, str):
+            self._members.roster.heard_from(sender, now)
         if isinstance(message, messages.Loads):
             self._members.roster.heard_alive(
                 message.sender, message.incarnation, now
--- a/packages/teaseldock/teaseldock/membership.py
+++ b/packages/teaseldock/teaseldock/membership.py
@@ -98,6 +98,7 @@
             self._fresh = True
         actions = self._expire_probe(now, heartbeat)
         actions += self._probe_returns(heartbeat)
+        actions += self._tell_accused(heartbeat)
         self._roster.expire_suspicions(now)
         if now >= self._next_probe:
             self._next_probe = now + PROBE_INTERVAL_S
@@ -110,6 +111,7 @@
         """Handle Ping, Ack, PingRequest or Vouch."""
         self._note_return(message.sender.name, now)
         self._roster.hear(message.sender, now)
+        self._roster.heard_from(message.sender.name, now)
         match message:
             case messages.Ping():
                 return self._on_ping(message, now, heartbeat)
@@ -147,6 +149,11 @@
             if member and member.health == messages.Health.DEAD
         ]
 
+    def _tell_accused(self, heartbeat: Heartbeat) -> list[messages.ToPeer]:
+        """Let members deny that they are dead before their time is up."""
+        members = map(self._roster.get, sorted(self._roster.drain_accused()))
+        return [self._ping(0, member, heartbeat) for member in members]
+
     def _on_pause(self, now: float) -> None:
         # A paused process finds all answers missing at once. Without this
         # guard it would declare the whole region dead on waking, which shows
--- a/packages/teaseldock/teaseldock/roster.py
+++ b/packages/teaseldock/teaseldock/roster.py
@@ -37,13 +37,14 @@
 
 
 class _Entry:
-    """Hold one member and when its state was last changed."""
+    """Hold one member, when its state changed, and when it last spoke."""
 
-    __slots__ = ('member', 'changed_at')
+    __slots__ = ('member', 'changed_at', 'heard_at')
 
     def __init__(self, member: messages.Member, changed_at: float) -> None:
         self.member = member
         self.changed_at = changed_at
+        self.heard_at = -math.inf
 
 
 def _precedence(member: messages.Member) -> tuple[int, int, int, bool]:
@@ -68,6 +69,7 @@
         self._entries: dict[str, _Entry] = {}
         self._rumours: dict[str, int] = {}
         self._suspects: set[str] = set()
+        self._accused: set[str] = set()
         self._version = 0
         self._changes: list[messages.Member] = []
 
@@ -245,6 +247,18 @@
             return True
         return member.incarnation > self._own.incarnation
 
+    def heard_from(self, name: str, now: float) -> None:
+        """Note that a member itself has just sent something."""
+        entry = self._entries.get(name)
+        if entry is not None:
+            entry.heard_at = now
+
+    def drain_accused(self) -> set[str]:
+        """Return members that shall hear at once that others bury them."""
+        accused = self._accused
+        self._accused = set()
+        return accused
+
     def heard_alive(self, name: str, incarnation: int, now: float) -> None:
         """Take a member's incarnation from a message that isn't a heartbeat.
 
@@ -317,9 +331,28 @@
                 self._spread(member.name)
             self._changes.append(member)
             return
+        if self._is_doubtful(entry, member, now):
+            self._accused.add(member.name)
+            member = member._replace(health=messages.Health.SUSPECT)
         if _precedence(member) > _precedence(entry.member):
             self._change(entry, member, now)
 
+    def _is_doubtful(
+        self, entry: _Entry, member: messages.Member, now: float
+    ) -> bool:
+        """Tell whether a member may be alive that others hold for dead.
+
+        Whoever comes back from a cut holds all for dead that were on the
+        other side. Taken at their word, they would make living members drop
+        each other, and with them the requests that they run for each other.
+        """
+        return (
+            member.health == messages.Health.DEAD
+            and member.incarnation == entry.member.incarnation
+            and entry.member.health != messages.Health.DEAD
+            and now - entry.heard_at < SUSPICION_S
+        )
+
     def _deny(self, rumour: messages.Member) -> None:
         """Answer a rumour about oneself with a higher counter."""
         if rumour.incarnation > self._own.incarnation:
