Don't keep an order that names its challenger while its flow is searched for

What callers see: an order waits up to 2 s at a target that can't find its flow, and then meets its caller's next copy.

Cause: packets of unknown flows are kept until all peers have answered where the flow is. An order with a challenge needs no search: whoever holds the flow would hand it to its challenger too.

test_an_order_does_not_wait_for_its_flow_to_be_found failed before (no action).

--- a/packages/teaseldock/teaseldock/holder.py
+++ b/packages/teaseldock/teaseldock/holder.py
@@ -210,6 +210,18 @@
             self._uploads[packet.flow] = now
         return self._coordinator.on_request(packet.flow, request, now)
 
+    def names_its_challenger(self, packet: proxy_header.Packet) -> bool:
+        """Tell whether a datagram says by itself who may run it."""
+        try:
+            request = self._shared.codec.read_caller(packet.payload)
+        except exceptions.MessageError:
+            return False
+        return (
+            isinstance(request, base.Request)
+            and not request.idempotent
+            and self._coordinator.guard.is_answered(packet.flow, request)
+        )
+
     def _on_control(
         self, flow: bytes, control: base.Control
     ) -> list[messages.Action]:
--- a/packages/teaseldock/teaseldock/owner.py
+++ b/packages/teaseldock/teaseldock/owner.py
@@ -101,6 +101,10 @@
             self._directory.forget(packet.flow)
         peers = self._shared.view.peers(self._service)
         to_ask = self._directory.to_ask(bucket, peers, now)
+        if to_ask and self._holder.names_its_challenger(packet):
+            # Whoever holds the flow would send it there as well. Kept until
+            # silent peers are given up, it would meet its caller's next copy.
+            return self._holder.deliver(packet, now)
         if to_ask:
             return self._search(packet, bucket, to_ask, now)
         return self._place(packet, now)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -8,6 +8,7 @@
 from bench import fakes
 from bench import world
 from teaseldock import messages
+from teaseldock import proxy_header
 from tests import promises
 
 
@@ -359,6 +360,43 @@
     assert not _unknown(coordinator.tick(small.now + 6.0))
 
 
+def _order(echo: bytes, *, message: int = 7) -> bytes:
+    """Return a caller's order as it comes with a challenge."""
+    return fake_codec.msgspec.msgpack.encode(
+        [0, message, b'x', 'POST', 'orders', echo, None, None, 'x']
+    )
+
+
+def _other_than(run: world.World, holder: str) -> str:
+    """Return another instance of the service."""
+    return next(
+        name
+        for name in run.processes
+        if name.startswith('dispatch-') and name != holder
+    )
+
+
+def test_an_order_does_not_wait_for_its_flow_to_be_found(
+    small: world.World,
+) -> None:
+    """Guards against an order that is kept until its caller's next copy."""
+    caller, holder = one_order(small)
+    echo = _challenge_of(small.processes[holder].node, caller)
+    node = small.processes[_other_than(small, holder)].node
+    target = node.find('dispatch')
+    packet = proxy_header.Packet(
+        caller.flow,
+        target.service.number,
+        node.view.generation + 1,
+        proxy_header.Role.OWNER,
+        0,
+        _order(echo),
+    )
+    (action,) = node.on_packet(packet, small.now)
+    assert isinstance(action, messages.ToAgent)
+    assert action.packet.role == proxy_header.Role.CHALLENGER
+
+
 def _unknown(actions: list[messages.Action]) -> bool:
     """Tell whether a caller is told that the outcome is unknown."""
     return any(
