Let callers carry orders across a cut to their challengers

What callers see: "outcome unknown" after 3.2 s or more for orders that never ran, during a cut between processes and in the second after it.

Cause: only the process that challenged an order may run it, and an order that came out on the other side of a cut was handed to it in vain: processes can't cross the cut, but callers reach both sides. It waited for the caller's next copy, 2 s later, which came out on the wrong side as often as not.

Now, where two agents or more were believed dead lately, so that the cause may be a cut, the caller of an order whose challenger is believed dead is asked at once to send it again, with the same challenge: CoAP's answer 4.01 with the Echo that it came with. Each message may come out on either side; whichever reaches the challenger first runs, no other does. After 16 messages (some 0.1 s) the order is handed over and waits as before, and its caller is told "outcome unknown" after 3.2 s, so that those of the truly dead wait no longer than they did. Orders that were handed over before the belief are asked for when their wait is over. Nothing is held so that a caller won't ask again.

Left out: an answer for the former message given to a later one, since a caller may send two orders under one challenge (test_one_challenge_lets_one_message_run).

Class: a path that is known to be closed was used, and the one that is open was not.

--- a/packages/teaseldock/teaseldock/coordinator.py
+++ b/packages/teaseldock/teaseldock/coordinator.py
@@ -395,8 +395,10 @@
         for call, pending in list(self._pending.items()):
             if pending.runner != self._shared.name:
                 actions += self._watch(call, pending, now)
-        for order in self._guard.given_up(now):
-            actions += self._refuse_unknown(order.flow, order.request)
+        for order, ruling in self._guard.overdue(now):
+            actions += ruling.actions
+            if ruling.verdict is guard.Verdict.UNKNOWN:
+                actions += self._refuse_unknown(order.flow, order.request)
         self._exchanges.expire(now)
         return actions
 
--- a/packages/teaseldock/teaseldock/guard.py
+++ b/packages/teaseldock/teaseldock/guard.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import typing
 
 from teaseldock import challenge
@@ -16,6 +17,7 @@
 from teaseldock import load
 from teaseldock import messages
 from teaseldock import proxy_header
+from teaseldock import resends
 
 if typing.TYPE_CHECKING:
     from teaseldock.codecs import base
@@ -24,6 +26,13 @@
     from teaseldock import flow as flows
     from teaseldock import table
 
+#: Agents believed dead from which on the cause may be a cut: one alone has
+#: mostly died.
+CUT_AGENTS = 2
+#: Seconds for which that is remembered: those behind a cut are taken back one
+#: by one.
+CUT_MEMORY_S = 10.0
+
 
 class Verdict(enum.Enum):
     """What to do with a guarded request."""
@@ -65,6 +74,8 @@
         self._service = service
         self._exchanges = known
         self._handovers = handovers.Handovers()
+        self._resends = resends.Resends()
+        self._cut_seen_at = -math.inf
         self._number = load.instance_number(shared.name)
 
     def set_service(self, service: table.ServiceTable) -> None:
@@ -144,6 +155,8 @@
         endpoint = self._endpoint(given.holder, given.incarnation)
         if endpoint is None:
             return _UNKNOWN
+        if self._asks_again(request, given.holder, now):
+            return self._challenge_again(flow, request)
         order = handovers.HandedOver(
             flow, request, given.holder, given.incarnation, now
         )
@@ -172,14 +185,49 @@
             return None
         return self._shared.view.endpoint(name)
 
-    def given_up(self, now: float) -> list[handovers.HandedOver]:
-        """Return handed over requests whose outcome nobody will tell."""
+    def overdue(self, now: float) -> list[tuple[handovers.HandedOver, Ruling]]:
+        """Judge handed over requests whose challenger has not answered."""
+        if self._shared.view.dead_count >= CUT_AGENTS:
+            self._cut_seen_at = now
         return [
-            order
+            (order, self._rule_lost(order, now))
             for order in self._handovers.take_due(now)
             if self._is_lost(order)
         ]
 
+    def _rule_lost(self, order: handovers.HandedOver, now: float) -> Ruling:
+        if self._endpoint(order.holder, order.incarnation) is None:
+            return _UNKNOWN
+        if self._asks_again(order.request, order.holder, now):
+            return self._challenge_again(order.flow, order.request)
+        return _UNKNOWN
+
+    def _asks_again(
+        self, request: base.Request, holder: int, now: float
+    ) -> bool:
+        """Tell whether the caller may reach a challenger that we can't.
+
+        Handed to it as well, the order could run there while its caller
+        waits for the answer to the message that it sends next.
+        """
+        name = self._find(holder)
+        return (
+            name is not None
+            and self._shared.view.is_dead(name)
+            and now - self._cut_seen_at < CUT_MEMORY_S
+            and self._resends.take(request.echo)
+        )
+
+    def _challenge_again(self, flow: bytes, request: base.Request) -> Ruling:
+        """Ask a caller to send its request again with the same challenge.
+
+        Whichever message reaches the challenger first may run there, and no
+        other.
+        """
+        self._shared.counters['challenges_again'] += 1
+        answer = self._shared.codec.challenge(request, request.echo)
+        return Ruling(Verdict.ACT, [messages.ToCaller(flow, answer)])
+
     def _is_lost(self, order: handovers.HandedOver) -> bool:
         if self._endpoint(order.holder, order.incarnation) is None:
             return True
--- a/packages/teaseldock/teaseldock/view.py
+++ b/packages/teaseldock/teaseldock/view.py
@@ -100,6 +100,11 @@
         """Tell whether an instance's agent is believed dead."""
         return name in self._dead
 
+    @property
+    def dead_count(self) -> int:
+        """Return how many instances' agents are believed dead."""
+        return len(self._dead)
+
     def owner(self, service: table.ServiceTable, bucket: int) -> str | None:
         """Return the instance whose agent decides about a bucket."""
         concerned = self._concerned.get(service.name)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -9,6 +9,7 @@
 from bench import world
 from teaseldock import messages
 from teaseldock import proxy_header
+from teaseldock import resends
 from tests import promises
 
 
@@ -397,6 +398,40 @@
     assert action.packet.role == proxy_header.Role.CHALLENGER
 
 
+def test_a_caller_carries_its_order_across_a_cut(small: world.World) -> None:
+    """Guards against orders that wait for what only their callers reach."""
+    small.part(['dispatch-1', 'dispatch-2', 'balancer-1'])
+    small.run_until(small.now + 8.0)
+    callers = [small.add_caller('dispatch') for _ in range(40)]
+    asked = [caller.ask('POST', 'orders') for caller in callers]
+    small.run_until(small.now + 1.5)
+    outcomes = {item.identity: item.outcome for item in small.asked}
+    assert [outcomes.get(identity) for identity in asked] == ['answer'] * 40
+    promises.assert_safe(small)
+
+
+def test_a_caller_is_sent_round_for_a_bounded_time(small: world.World) -> None:
+    """Guards against a caller that is never told the outcome is unknown."""
+    caller, holder = one_order(small)
+    echo = _challenge_of(small.processes[holder].node, caller)
+    small.part([holder, 'tickets-5', 'tickets-6'])
+    small.run_until(small.now + 8.0)
+    node = small.processes[_other_than(small, holder)].node
+    coordinator = node.find('dispatch').holder.coordinator
+    codec = fake_codec.FakeCodec()
+    for message in range(resends.MESSAGES_AT_MOST):
+        request = codec.read_caller(_order(echo, message=message))
+        (action,) = coordinator.on_request(caller.flow, request, small.now)
+        answer = fake_codec.Answer(
+            *fake_codec.msgspec.msgpack.decode(action.payload)
+        )
+        assert (answer.kind, answer.value) == ('challenge', echo)
+    request = codec.read_caller(_order(echo, message=99))
+    (action,) = coordinator.on_request(caller.flow, request, small.now)
+    assert isinstance(action, messages.ToAgent)
+    assert _unknown(coordinator.tick(small.now + 3.3))
+
+
 def _unknown(actions: list[messages.Action]) -> bool:
     """Tell whether a caller is told that the outcome is unknown."""
     return any(
