--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -432,6 +432,28 @@
     assert _unknown(coordinator.tick(small.now + 3.3))
 
 
+def test_an_order_handed_over_too_soon_is_asked_for_again(
+    small: world.World,
+) -> None:
+    """Guards against orders lost to a cut that was not noticed yet."""
+    caller, holder = one_order(small)
+    echo = _challenge_of(small.processes[holder].node, caller)
+    node = small.processes[_other_than(small, holder)].node
+    coordinator = node.find('dispatch').holder.coordinator
+    request = fake_codec.FakeCodec().read_caller(_order(echo))
+    small.part([holder, 'tickets-5', 'tickets-6'])
+    (action,) = coordinator.on_request(caller.flow, request, small.now + 5.0)
+    assert isinstance(action, messages.ToAgent)
+    small.run_until(small.now + 8.0)
+    actions = coordinator.tick(small.now + 0.5)
+    (answer,) = [
+        fake_codec.Answer(*fake_codec.msgspec.msgpack.decode(item.payload))
+        for item in actions
+        if isinstance(item, messages.ToCaller)
+    ]
+    assert (answer.kind, answer.value) == ('challenge', echo)
+
+
 def _unknown(actions: list[messages.Action]) -> bool:
     """Tell whether a caller is told that the outcome is unknown."""
     return any(
