--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -34,7 +34,7 @@
     'crash': 15.0,
     'cold-start': 15.0,
     'changes-and-crashes': 15.0,
-    'partition': 15.0,
+    'partition': 2.0,
 }
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
