--- a/packages/teaseldock/teaseldock/packets/admission.py
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -11,6 +11,7 @@
 
 from teaseldock import flow as flows
 from teaseldock.packets import dispatching
+from teaseldock.packets import expected_wait
 from teaseldock.packets import outcomes
 from teaseldock.packets import records
 from teaseldock.packets import reporting
@@ -87,6 +88,22 @@
         """Return the share of recent requests that failed, from 0 to 1."""
         return round(self._outcomes.failing(now), 2)
 
+    def expected_wait(
+        self, now: float, priority: int | None = None
+    ) -> expected_wait.ExpectedWait:
+        """Return when a request that arrives now would start, and its length.
+
+        :param priority: priority of the request; requests of lower priority
+            don't delay it. None counts all requests.
+        """
+        ahead = self._queue.ahead_of(priority, now)
+        if priority is None:
+            # Uploads run without being queued.
+            ahead = max(ahead, self._tracker.asked)
+        return expected_wait.estimate(
+            ahead=ahead, slots=self._slots, service_s=self._queue.service_s
+        )
+
     def clear(self) -> None:
         """Drop all requests and outcomes of the server's previous run."""
         self._queue.clear()
--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -43,6 +43,9 @@
 #: Requests held. At 2 slots and 30 ms each, 100 requests take 1.5 s, most of
 #: a deadline.
 MAX_REQUESTS = 400
+#: Ranks of waiting requests: late ones that go first since their timeout is
+#: near, those that can meet their objective, and those that can't.
+_URGENT, _IN_TIME, _LATE = range(3)
 
 
 class Terms(typing.NamedTuple):
@@ -215,6 +218,22 @@
         """Return the remaining time that a request needs to end in time."""
         return self._answer_s + DEVIATION_FACTOR * self._deviation_s
 
+    def ahead_of(self, priority: int | None, now: float) -> int:
+        """Return the requests that run or start before a new one.
+
+        Waiting requests that can no longer meet their objective start after a
+        new one, which still can, unless they are urgent.
+
+        :param priority: priority of the new request; None counts all requests.
+        """
+        if priority is None:
+            return len(self._running) + len(self._waiting)
+        return len(self._running) + sum(
+            self._sort_key(item, now)[0] < _LATE
+            and item.terms.priority <= priority
+            for item in self._waiting.values()
+        )
+
     def drop(self, flow: bytes) -> None:
         """Drop the request of a flow that has ended."""
         self._waiting.pop(flow, None)
@@ -243,12 +262,12 @@
     ) -> tuple[int, float, float]:
         left_s = item.since + item.terms.aim_s - now
         if left_s >= self.needed_s:
-            return (1, item.terms.priority, left_s)
+            return (_IN_TIME, item.terms.priority, left_s)
         timeout_at = item.since + item.terms.timeout_s
         if item.terms.guarded:
             if timeout_at - now < URGENT_TIME_FACTOR * self._answer_s:
-                return (0, item.terms.priority, timeout_at)
-        return (2, item.terms.priority, timeout_at)
+                return (_URGENT, item.terms.priority, timeout_at)
+        return (_LATE, item.terms.priority, timeout_at)
 
     def expire(self, now: float) -> Expired:
         """Remove and return the requests whose timeout has passed.
--- a/packages/teaseldock/teaseldock/packets/placing.py
+++ b/packages/teaseldock/teaseldock/packets/placing.py
@@ -18,6 +18,7 @@
 
 if typing.TYPE_CHECKING:
     from teaseldock import load
+    from teaseldock.packets import expected_wait
     from teaseldock.packets import records
 
 #: Number of candidates of a flow: the best of this many, first in its rank,
@@ -77,6 +78,8 @@
         and an estimate of those of other balancers.
     :ivar warming: whether it is warming up.
     :ivar failing: share of its recent requests that failed.
+    :ivar wait: expected wait of a new request that its agent reported last, or
+        None.
     """
 
     target: records.Target
@@ -85,6 +88,7 @@
     unreported: float
     warming: bool
     failing: float = 0.0
+    wait: expected_wait.ExpectedWait | None = None
 
 
 def bucket(flow: bytes) -> int:
