Overflow new flows to another service of their route

Cause: the weights of a route alone decided which of its services gets a new flow. A route whose weight was moved to a small service lost 1,987 feeds there while the large service was idle.

Change: the balancer compares the expected completion at the best candidate of the service chosen by weight with half of the route's objective. If it is late, the balancer queries candidates of the other services, and sends the flow to the one that completes it soonest, in less than half the time and with a wait under a quarter of the objective. At most half of the flows that a balancer sends to a service within a second come by overflow. Openings that may have been accepted stay. An opening that the other service returns goes back to its own. An agent that reports no wait is compared by its requests per slot. Requests of simulated callers have a port, so that a play has several routes.

--- a/bench/packet_caller.py
+++ b/bench/packet_caller.py
@@ -27,6 +27,7 @@
     :ivar feed: whether the flow stays open after the answer, and a reset of
         the open flow leads to a further try; without it the request fails.
     :ivar tries: number of flows that the caller may still open.
+    :ivar port: port of the route that its flows go to.
     :ivar opened: whether the current flow is open.
     :ivar sequence: number of the last request on the current flow.
     :ivar server_sequence: initial sequence number of the server.
@@ -34,7 +35,12 @@
     """
 
     def __init__(
-        self, world: packet_world.World, *, feed: bool, tries: int
+        self,
+        world: packet_world.World,
+        *,
+        feed: bool,
+        tries: int,
+        port: int = 443,
     ) -> None:
         """Open the first flow."""
         self.world = world
@@ -43,6 +49,7 @@
         self.outcome = ''
         self.feed = feed
         self.tries = tries
+        self.port = port
         self.flow = b''
         self.opened = False
         self.sequence = 0
--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -377,16 +377,21 @@
             bytes((100, 64, 0, port % 250))
             + SERVICE_HOST
             + port.to_bytes(2, 'big')
-            + (443).to_bytes(2, 'big')
+            + request.port.to_bytes(2, 'big')
         )
         self._flows[flow] = request
         return flow
 
     def request(
-        self, *, feed: bool = False, tries: int = 3
+        self, *, feed: bool = False, tries: int = 3, port: int = 443
     ) -> packet_caller.Request:
-        """Start a request of a caller on a new flow."""
-        request = packet_caller.Request(self, feed=feed, tries=tries)
+        """Start a request of a caller on a new flow.
+
+        :param port: port of the route.
+        """
+        request = packet_caller.Request(
+            self, feed=feed, tries=tries, port=port
+        )
         self.requests.append(request)
         return request
 
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -14,6 +14,7 @@
 from teaseldock.packets import locating
 from teaseldock.packets import mesh
 from teaseldock.packets import node
+from teaseldock.packets import overflow
 from teaseldock.packets import placing
 from teaseldock.packets import reporting
 
@@ -65,6 +66,13 @@
             meters=self._meters,
         )
         self._load_queries = load_query.LoadQueries()
+        self._overflow = overflow.OverflowPolicy(
+            self._targets,
+            self._knowledge,
+            log_fields=lambda: self._log_fields,
+            reporter=self._reporter,
+            meters=self._meters,
+        )
         self._removed: set[tuple[str, int]] = set()
         self._agent_heard_at = 0.0
         self._silence_query_at = 0.0
@@ -225,6 +233,8 @@
             hint.tried.append(hint.host)
             self._targets.suspect(hint.host, now)
             self._query_load(hint.host, now)
+        if item.acknowledged:
+            hint.settled = True
         self._place(item, hint, now)
 
     def _place(
@@ -254,6 +264,9 @@
             self._meters.counters['copies_followed'] += 1
             self._forward(item, hint)
             return
+        if not usable and self._return_to_weights(item, hint):
+            self._place(item, hint, now)
+            return
         if not usable:
             self._refuse(item, self._targets.refusal_reason(hint.service))
             return
@@ -265,6 +278,21 @@
             return
         self._place_on_best(item, hint, usable, group, now)
 
+    def _return_to_weights(
+        self, item: packet.Packet, hint: hints.Hint
+    ) -> bool:
+        """Return an opening that overflowed to the service of its weight.
+
+        :returns: whether it is at another service now.
+        """
+        route = self._knowledge.route(flows.packed_service_endpoint(item.flow))
+        if route is None or not hint.overflowed:
+            return False
+        service = self._service_of(route, item.flow)
+        changed = service != hint.service
+        hint.move_to(service, overflowed=False)
+        return changed
+
     def _may_query(self, now: float) -> bool:
         question = control_budget.Purpose.QUESTION
         return not self._load_queries.full and self._budget.allows(
@@ -279,6 +307,8 @@
         asked: list[placing.Candidate],
         group: int,
         now: float,
+        *,
+        of_others: bool = False,
     ) -> None:
         enough = min(load_query.ENOUGH_ANSWERS, len(members))
         hosts = [member.target.host for member in asked]
@@ -290,6 +320,7 @@
                 group=group,
                 answers_missing=enough - (len(members) - len(asked)),
                 now=now,
+                of_others=of_others,
             )
         )
         for host in hosts:
@@ -306,7 +337,14 @@
         if not usable:
             self._place(waiting.item, hint, now)
             return
-        self._place_on_best(waiting.item, hint, usable, waiting.group, now)
+        self._place_on_best(
+            waiting.item,
+            hint,
+            usable,
+            waiting.group,
+            now,
+            others_queried=waiting.of_others,
+        )
 
     def _place_on_best(
         self,
@@ -315,11 +353,16 @@
         usable: list[placing.Candidate],
         group: int,
         now: float,
+        *,
+        others_queried: bool = False,
     ) -> None:
         """Send a new flow to the best of the candidates considered so far.
 
         Candidates that have just answered take precedence, since the others
         may be gone.
+
+        :param others_queried: whether the candidates of the route's other
+            services have been queried.
         """
         considered = usable[: group * placing.CANDIDATES]
         answered = [one for one in considered if load_query.is_fresh(one)]
@@ -327,9 +370,19 @@
             answered or considered, data_centre=self._data_centre
         )
         more = len(usable) > len(considered) and group < load_query.MAX_GROUPS
+        more = more and not others_queried
         if answered and more and placing.is_loaded(chosen):
             self._place(item, hint, now, group=group + 1)
             return
+        others = self._overflow.others(item, hint, answered, now)
+        if not others_queried and self._query_others(
+            item, hint, others, group, now
+        ):
+            return
+        chosen = (
+            self._overflow.choose(item, hint, answered, others, now) or chosen
+        )
+        self._overflow.note_placed(hint, now)
         hint.host = chosen.target.host
         self._targets.note_placed(chosen.target, now)
         self._meters.counters['placed'] += 1
@@ -347,6 +400,29 @@
         )
         self._forward(item, hint)
 
+    def _query_others(
+        self,
+        item: packet.Packet,
+        hint: hints.Hint,
+        others: list[list[placing.Candidate]],
+        group: int,
+        now: float,
+    ) -> bool:
+        """Query candidates of other services; tell whether any was."""
+        members: list[placing.Candidate] = []
+        asked: list[placing.Candidate] = []
+        for one in others:
+            stale = load_query.candidates_to_query(one)
+            if stale:
+                members += one
+                asked += stale
+        if not asked or not self._may_query(now):
+            return False
+        self._query_candidates(
+            item, hint, members, asked, group, now, of_others=True
+        )
+        return True
+
     def _refuse(self, item: packet.Packet, why: str) -> None:
         """Reset a flow that is not open; none of its requests has run."""
         self._meters.counters['refused'] += 1
@@ -409,6 +485,8 @@
         if item.opening:
             # Another copy may be on its way to the target chosen since.
             if not moved:
+                if not hint.settled:
+                    self._return_to_weights(item, hint)
                 self._place(item, hint, now)
             return
         if moved:
--- a/packages/teaseldock/teaseldock/packets/hints.py
+++ b/packages/teaseldock/teaseldock/packets/hints.py
@@ -36,6 +36,10 @@
     :ivar denied: hosts whose server or agent answered that it does not hold
         the flow.
     :ivar search: the search in progress, or None.
+    :ivar overflowed: whether it went to another service than its route's
+        weights chose, see :mod:`teaseldock.packets.overflow`.
+    :ivar settled: whether it must not overflow: an earlier copy of its opening
+        may have been accepted, or it has overflowed before.
     """
 
     __slots__ = (
@@ -46,6 +50,8 @@
         'tried',
         'denied',
         'search',
+        'overflowed',
+        'settled',
     )
 
     def __init__(self, service: str, state: HintState) -> None:
@@ -57,6 +63,38 @@
         self.tried: list[str] = []
         self.denied: set[str] = set()
         self.search: searching.Search | None = None
+        self.overflowed = False
+        self.settled = False
+
+    @property
+    def may_overflow(self) -> bool:
+        """Return whether its opening may go to another service.
+
+        Only if no server can have accepted the opening: it was sent to no
+        target yet, or the only target has returned it.
+        """
+        if self.settled or self.overflowed:
+            return False
+        return self.host is None or self.host in self.denied
+
+    def at_service(self, service: str) -> Hint:
+        """Return a hint of the same flow at another service."""
+        other = Hint(service, self.state)
+        other.tried = self.tried
+        other.denied = self.denied
+        return other
+
+    def move_to(self, service: str, *, overflowed: bool) -> None:
+        """Change the service; a flow that returns must not overflow again.
+
+        :param overflowed: whether the service is not the one that the weights
+            chose.
+        """
+        self.service = service
+        self.tag = control.service_tag(service)
+        self.overflowed = overflowed
+        if not overflowed:
+            self.settled = True
 
 
 class Hints:
--- a/packages/teaseldock/teaseldock/packets/load_query.py
+++ b/packages/teaseldock/teaseldock/packets/load_query.py
@@ -66,6 +66,8 @@
     :ivar hint: hint of the flow.
     :ivar group: number of the group of candidates, from 1.
     :ivar answers_missing: number of answers that the flow still waits for.
+    :ivar of_others: whether candidates of the route's other services are
+        queried, see :mod:`teaseldock.packets.overflow`.
     """
 
     def __init__(
@@ -77,12 +79,14 @@
         group: int,
         answers_missing: int,
         now: float,
+        of_others: bool = False,
     ) -> None:
         """Create a query that none of the hosts has answered."""
         self.item = item
         self.hint = hint
         self.group = group
         self.answers_missing = answers_missing
+        self.of_others = of_others
         self._unanswered = set(hosts)
         self._started_at = now
 
