--- a/packages/teaseldock/teaseldock/packets/overflow.py
+++ b/packages/teaseldock/teaseldock/packets/overflow.py
@@ -72,22 +72,24 @@
 def completion(candidate: placing.Candidate) -> expected_wait.ExpectedWait:
     """Return when a new flow's request would begin, and its length.
 
-    An agent of the previous version reports no wait. Its wait follows from
-    the requests per slot and the initial service time.
+    An agent that reports no service time is compared by its requests and the
+    initial service time.
     """
     slots = max(1, candidate.target.slots)
-    wait = candidate.wait
-    if wait is None:
-        excess = max(0.0, placing.occupancy(candidate) + 1 / slots - 1)
-        service_s = dispatching.INITIAL_SERVICE_S
-        return expected_wait.ExpectedWait(excess * service_s, service_s)
-    service_s = wait.service_s or dispatching.INITIAL_SERVICE_S
+    reported = candidate.reported
+    present = reported.running + reported.queued if reported else 0
+    service_s = placing.service_s(candidate) or dispatching.INITIAL_SERVICE_S
+    if candidate.wait is None:
+        start_s = expected_wait.estimate(
+            ahead=present, slots=slots, service_s=service_s
+        ).start_s
+    else:
+        start_s = candidate.wait.start_s
     # Placements since the report fill its free slots first.
     unreported = candidate.unreported
-    if candidate.reported is not None:
-        present = candidate.reported.running + candidate.reported.queued
+    if reported is not None:
         unreported -= max(0, slots - 1 - present)
-    start_s = wait.start_s + max(0.0, unreported) * service_s / slots
+    start_s += max(0.0, unreported) * service_s / slots
     return expected_wait.ExpectedWait(start_s, service_s)
 
 
