Test openings that come back from the other service

Cause: with either of the two ways back to the service of the weight removed, the tests of overflow still passed, since each way covered for the other.

Change: an opening that the other service returns must reach one agent there only, and one that overflowed to the last target, which then leaves, must not be reset. Without answers, flows are placed before the first copy of their opening.

With the return after a returned opening removed, and with the one before a refusal removed, one test fails each.

--- a/tests/packets/test_overflow.py
+++ b/tests/packets/test_overflow.py
@@ -282,7 +282,8 @@
     """Guards against flows sent to a service whose load is not known.
 
     The balancers are cut off from the large service; its last loads say that
-    it is idle.
+    it is idle. Their queries to it get no answers, and flows must not wait for
+    these any longer than for those of the first service.
     """
     world = two_services(*WEIGHTS)
     callers = Callers(world)
@@ -293,9 +294,11 @@
         world.cut.update(frozenset((process.host, host)) for host in LARGE)
     # The answers on their way still count.
     world.run(overflow.load_query.FRESH_S + overflow.load_query.ANSWER_WAIT_S)
-    moved = count(world, 'overflowed')
+    since, moved = world.now, count(world, 'overflowed')
     callers.send(1.0, shared=SHARED_PER_S)
     assert count(world, 'overflowed') == moved
+    # Each flow is placed before its caller sends a copy.
+    assert callers.served_by(SMALL, SHARED_PORT, since) >= 0.7
     world.run(3.0)
     check_promises(world)
 
@@ -347,6 +350,13 @@
     assert not moved & refused
     opened = {flow for host in SMALL for _, flow in world.servers[host].opened}
     assert moved <= set(map(reporting.flow_text, opened))
+    # It goes back at once, not after all agents there have returned it.
+    asked = collections.Counter(
+        fields['flow']
+        for fields in world.events('placed')
+        if fields['host'] in LARGE and fields['flow'] in moved
+    )
+    assert max(asked.values()) == 1
 
 
 def overload_small(world: packet_world.World, callers: Callers) -> None:
@@ -476,15 +486,18 @@
     assert all(item.outcome == 'answered' for item in world.requests)
 
 
-def overflow_one(world: packet_world.World, callers: Callers) -> dict:
+def overflow_one(
+    world: packet_world.World, callers: Callers, own: float = OWN_PER_S
+) -> dict[str, typing.Any]:
     """Let openings overflow, and return the log record of the last one.
 
     That opening is on its way to its target.
     """
-    callers.send(1.0, shared=SHARED_PER_S, own=OWN_PER_S)
-    known = len(world.events('overflow'))
-    while len(world.events('overflow')) == known:
-        callers.send(0.0005, shared=2 * SHARED_PER_S, own=OWN_PER_S)
+    callers.send(1.0, shared=SHARED_PER_S, own=own)
+    known, until = len(world.events('overflow')), world.now + 1.0
+    while len(world.events('overflow')) == known and world.now < until:
+        callers.send(0.0005, shared=2 * SHARED_PER_S, own=own)
+    assert len(world.events('overflow')) > known
     return world.events('overflow')[-1]
 
 
@@ -540,6 +553,34 @@
     assert later and all(item.outcome == 'answered' for item in later)
 
 
+def test_the_last_target_leaves_after_its_answer() -> None:
+    """Guards against a reset although the service of the weight serves.
+
+    The first copy of an opening that overflowed is lost on its way to the only
+    target of the large service, which then leaves. It returns the next copy.
+    """
+    world = two_services(('small', 95), ('large', 5))
+    for host in LARGE[1:]:
+        world.servers[host].draining = True
+        world.store.put(world.servers[host])
+    world.run(1.0)
+    callers = Callers(world)
+    moved = overflow_one(world, callers, own=15.0)
+    # Datagrams to it are lost.
+    target = world.processes.pop(LARGE[0])
+    world.run(0.01)
+    world.processes[LARGE[0]] = target
+    target.node.leave(world.now)
+    world.run(3.0)
+    check_promises(world)
+    request = next(
+        item
+        for item in callers.requests[SHARED_PORT]
+        if reporting.flow_text(item.flow) == moved['flow']
+    )
+    assert request.outcome == 'answered' and not request.resets
+
+
 def candidate(
     number: int,
     service: str = 'large',
