--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -116,9 +116,17 @@
 
     def _on_load_report(self, peer: peers.Peer, now: float) -> None:
         self._agent_heard_at = now
+        if peer.reported_at != now:
+            # The heartbeat answers a query.
+            self._note_answer(peer.host, now)
         for waiting in self._load_queries.answered(peer.host):
             self._place_after_query(waiting, now)
 
+    def _note_answer(self, host: str, now: float) -> None:
+        taken_s = self._load_queries.round_trips.note_answer(host, now)
+        if taken_s is not None:
+            self._meters.time('load_answer', 1000 * taken_s)
+
     def _on_store_change(self, now: float) -> None:
         self._targets.refresh(now)
         self._query_removed_targets(now)
@@ -153,6 +161,7 @@
             peer.note_question_sent(now)
             if peer.needs_heartbeat(now):
                 detail = 0
+        self._load_queries.round_trips.note_query(host, now)
         self._send(
             host,
             control.pack(control.KIND_GET_LOAD, detail, 0, b''),
@@ -393,7 +402,10 @@
             services have been queried.
         """
         considered = usable[: group * placing.CANDIDATES]
-        answered = [one for one in considered if load_query.is_fresh(one)]
+        wait_s = self._load_queries.round_trips.wait_s
+        answered = [
+            one for one in considered if load_query.is_fresh(one, wait_s)
+        ]
         aim_s = self._targets.aim_s(item.flow)
         chosen = placing.pick(
             answered or considered, data_centre=self._data_centre, aim_s=aim_s
