Hand off openings between the agents of a service

Cause: a balancer places four new flows in ten without any fresh load, and feeds stay with their server. Orders wait at busy servers while others are idle.

Change: agents send notices (KIND_AVAILABLE) when they are free. An agent whose own wait exceeds a quarter of the route's objective hands the first copy of an opening to the agent that promises the earliest completion (KIND_HANDED_ON), before its server or its tracker gets it. The other agent confirms it to the sender and tells the balancer (KIND_MOVED). The flow is marked as not held at the first agent, so that its packets are returned and a search finds it if the balancer wasn't told. The decision about an opening is kept for 2 s: duplicates follow it, and later copies follow it if the agent refuses new flows by then.

--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -44,7 +44,11 @@
 BITS = 8
 #: Kinds of datagrams that carry packets of callers; they are not counted as
 #: control traffic.
-CALLER_PACKET_KINDS = (control.KIND_PACKET, control.KIND_RETURNED)
+CALLER_PACKET_KINDS = (
+    control.KIND_PACKET,
+    control.KIND_RETURNED,
+    control.KIND_HANDED_ON,
+)
 SERVICE_HOST = bytes((198, 18, 0, 1))
 
 
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -9,6 +9,7 @@
 from teaseldock.packets import admission
 from teaseldock.packets import control
 from teaseldock.packets import control_budget
+from teaseldock.packets import handing_on
 from teaseldock.packets import holdings
 from teaseldock.packets import locate_responder
 from teaseldock.packets import node
@@ -87,6 +88,22 @@
             send=self._send_search,
         )
         self._relay = relaying.Relay(self._send_search, self._meters)
+        self._hand_off = handing_on.HandOff(
+            service,
+            self._host,
+            known=self._knowledge,
+            tracker=self._tracker,
+            admitted=self._admission,
+            refuses=lambda now: self._refusal_reason(now) is not None,
+            is_behind=self._is_behind,
+            control_bytes=self._budget,
+            log_fields=lambda: self._log_fields,
+            io=self._io,
+            reporter=self._reporter,
+            meters=self._meters,
+            randomness=self._random,
+            now=now,
+        )
         self._sweep_at = now
         self._own_target: records.Target | None = None
         self._accepting = True
@@ -245,6 +262,7 @@
         super().tick(now)
         self._admission.tick(now)
         self._relay.tick(now)
+        self._hand_off.tick(now)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_INTERVAL_S
             self._tracker.sweep(now, idle_s=self._idle_s())
@@ -280,6 +298,12 @@
             request = control.read_relay_request(envelope)
             flow = self._io.read_packet(request.raw).flow
             self._relay.begin(request, flow, host, now)
+        elif envelope.kind == control.KIND_AVAILABLE:
+            self._hand_off.on_available(envelope, host, now)
+        elif envelope.kind == control.KIND_HANDED_ON:
+            self._on_handed_on(envelope, host, now)
+        elif envelope.kind == control.KIND_MOVED:
+            self._hand_off.on_moved(envelope, host)
         else:
             self._meters.counters['dropped_not_for_agent'] += 1
 
@@ -292,9 +316,60 @@
             control_budget.Purpose.QUESTION,
         )
 
-    def _on_caller_packet(
+    def _is_behind(self, now: float) -> bool:
+        """Tell whether datagrams may have waited while this process paused."""
+        paused = now - self._last_tick > handing_on.NOTICE_TTL_S
+        return paused or self.is_resyncing(now)
+
+    def _on_handed_on(
         self, envelope: control.Envelope, host: str, now: float
     ) -> None:
+        """Handle an opening that another agent has handed to this one.
+
+        The balancer is told before the opening is returned to it: it ignores
+        openings that are returned by another agent than it chose.
+        """
+        opening = control.read_handed_on(envelope.body)
+        item = self._io.read_packet(opening.raw)
+        if envelope.tag != self._tag or not item.opening:
+            self._meters.counters['dropped_handed_on'] += 1
+            return
+        passed_on = self._hand_off.pass_on(
+            item,
+            opening.balancer,
+            now,
+            sender=host,
+            hand_offs=opening.hand_offs,
+        )
+        refused = not passed_on and self._refusal_reason(now) is not None
+        refused = refused and not self._tracker.half_open(item.flow)
+        self._hand_off.send_receipt(item.flow, host, now, refused=refused)
+        if passed_on:
+            return
+        self._hand_off.announce_moved(item.flow, opening.balancer, now)
+        if not refused:
+            self._meters.counters['taken_over'] += 1
+        self._on_caller_packet(
+            envelope._replace(kind=control.KIND_PACKET, body=opening.raw),
+            opening.balancer,
+            now,
+            handed_on=True,
+        )
+
+    def _on_caller_packet(
+        self,
+        envelope: control.Envelope,
+        host: str,
+        now: float,
+        *,
+        handed_on: bool = False,
+    ) -> None:
+        """Handle a caller's packet.
+
+        :param host: the balancer that sent it.
+        :param handed_on: whether it is an opening that another agent handed
+            off and this one keeps.
+        """
         self._meters.counters['packets_in'] += 1
         if envelope.tag != self._tag:
             # The address has been reassigned to another service. Without this
@@ -305,6 +380,9 @@
             )
             return
         item = self._io.read_packet(envelope.body)
+        if item.opening and not handed_on:
+            if self._hand_off.pass_on(item, host, now):
+                return
         refusal = self._refusal_reason(now) if item.opening else None
         if refusal is not None and not self._tracker.half_open(item.flow):
             # A copy of an opening that the server has accepted is forwarded.
@@ -388,7 +466,10 @@
         self._responder.answer_probe(item.flow, searching.LocateResult.HELD)
         address = flows.packed_service_endpoint(item.flow)
         address_known = address in self._tracker.addresses
+        asked = self._tracker.asked
         self._admission.from_server(item, now)
+        if self._tracker.asked < asked:
+            self._hand_off.notify_if_free(now)
         if not address_known and self._is_routed_elsewhere(address):
             # A balancer with an old configuration opened the flow. Others
             # query this agent only after its next heartbeat, so send one now.
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -387,6 +387,9 @@
             if hint is not None:
                 self._locator.on_relayed(envelope, result, hint, now)
             return
+        if envelope.kind == control.KIND_MOVED:
+            self._on_moved(envelope, host)
+            return
         if envelope.kind != control.KIND_RETURNED:
             self._meters.counters['dropped_not_for_balancer'] += 1
             return
@@ -397,6 +400,24 @@
             return
         self._on_returned(item, hint, host, now)
 
+    def _on_moved(self, envelope: control.Envelope, host: str) -> None:
+        """Follow an opening that its target has handed off to another.
+
+        A message that comes late is harmless: an agent that doesn't hold the
+        flow returns its next packet, and a search follows.
+        """
+        hint = self._hints.get(control.read_moved(envelope.body))
+        if (
+            hint is None
+            or hint.state is not hints.HintState.OPENING
+            or hint.tag != envelope.tag
+            or host in hint.denied
+        ):
+            self._meters.counters['moves_ignored'] += 1
+            return
+        self._meters.counters['moves_followed'] += 1
+        hint.host = host
+
     def _on_returned(
         self, item: packet.Packet, hint: hints.Hint, host: str, now: float
     ) -> None:
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 import struct
 import typing
 import zlib
@@ -15,6 +16,7 @@
 
 from teaseldock import exceptions
 from teaseldock import load
+from teaseldock.packets import expected_wait
 from teaseldock.packets import holdings
 from teaseldock.packets import records
 
@@ -53,6 +55,15 @@
 #: The request for the alerts beyond the revision in the body, and its answer.
 KIND_GET_ALERTS = 13
 KIND_ALERTS = 14
+#: Tells an agent of the same service that the sender's server is free; the
+#: body is its expected wait and service time.
+KIND_AVAILABLE = 16
+#: An opening that an agent hands off to another one of its service.
+KIND_HANDED_ON = 17
+#: Tells the balancer of an opening that was handed off, and the agent that
+#: handed it off, that the sender has got it; the body is the flow's key. The
+#: detail is a MovedResult.
+KIND_MOVED = 18
 #: Bytes of an IPv4 address and of a flow's key.
 _HOST_BYTES = 4
 _FLOW_BYTES = 12
@@ -63,6 +74,17 @@
 _FRAGMENT = struct.Struct('>HHI')
 #: A revision of the store.
 _REVISION = struct.Struct('>Q')
+#: Expected wait and service time in milliseconds, and the largest of them
+#: that can be encoded.
+_AVAILABLE = struct.Struct('>HH')
+_MAX_AVAILABLE_MS = 0xFFFF
+
+
+class MovedResult(enum.IntEnum):
+    """What an agent did with an opening that was handed to it."""
+
+    TAKEN = 0
+    REFUSED = 1
 
 
 class Heartbeat(typing.NamedTuple):
@@ -173,6 +195,19 @@
     hosts: list[str]
 
 
+class HandedOpening(typing.NamedTuple):
+    """An opening that an agent hands off to another one.
+
+    :ivar balancer: host of the balancer that placed the flow.
+    :ivar hand_offs: number of hand-offs, including this one.
+    :ivar raw: the opening packet as it came.
+    """
+
+    balancer: str
+    hand_offs: int
+    raw: bytes
+
+
 def pack_hosts(hosts: list[str]) -> bytes:
     """Encode IPv4 addresses as four bytes each."""
     return b''.join(bytes(map(int, host.split('.'))) for host in hosts)
@@ -310,6 +345,82 @@
     return read_hosts(body)[0]
 
 
+def pack_available(tag: int, wait: expected_wait.ExpectedWait) -> bytes:
+    """Encode the notice that a server is free, as a datagram.
+
+    :param tag: tag of the service of the agent that sends it.
+    """
+    start_ms, service_ms = (
+        min(_MAX_AVAILABLE_MS, round(1000 * seconds)) for seconds in wait
+    )
+    body = _AVAILABLE.pack(start_ms, service_ms)
+    return pack(KIND_AVAILABLE, 0, tag, body)
+
+
+def read_available(body: bytes) -> expected_wait.ExpectedWait:
+    """Decode the notice that a server is free.
+
+    :raises MessageError: if the bytes are malformed.
+    """
+    if len(body) != _AVAILABLE.size:
+        raise exceptions.MessageError(
+            'available',
+            f'{len(body)} bytes are not a wait and a service time',
+            remedy='run one version on all processes; the message was dropped',
+        )
+    start_ms, service_ms = _AVAILABLE.unpack(body)
+    return expected_wait.ExpectedWait(start_ms / 1000, service_ms / 1000)
+
+
+def pack_handed_on(tag: int, opening: HandedOpening) -> bytes:
+    """Encode an opening that is handed off, as a datagram.
+
+    :param tag: tag of the service that the opening is for.
+    """
+    head = pack_hosts([opening.balancer]) + bytes([opening.hand_offs])
+    return pack(KIND_HANDED_ON, 0, tag, head + opening.raw)
+
+
+def read_handed_on(body: bytes) -> HandedOpening:
+    """Decode an opening that was handed off.
+
+    :raises MessageError: if the bytes are malformed.
+    """
+    if len(body) <= _HOST_BYTES + 1:
+        raise exceptions.MessageError(
+            'handed on',
+            f'{len(body)} bytes are too short for a host and a packet',
+            remedy='run one version on all processes; the message was dropped',
+        )
+    return HandedOpening(
+        read_hosts(body[:_HOST_BYTES])[0],
+        body[_HOST_BYTES],
+        body[_HOST_BYTES + 1 :],
+    )
+
+
+def pack_moved(result: MovedResult, tag: int, flow: bytes) -> bytes:
+    """Encode the receipt of an opening that was handed off.
+
+    :param tag: tag of the service of the agent that got it.
+    """
+    return pack(KIND_MOVED, result, tag, flow)
+
+
+def read_moved(body: bytes) -> bytes:
+    """Decode the key of a flow whose opening was handed off.
+
+    :raises MessageError: if the bytes are malformed.
+    """
+    if len(body) != _FLOW_BYTES:
+        raise exceptions.MessageError(
+            'moved',
+            f'{len(body)} bytes are not a flow key',
+            remedy='run one version on all processes; the message was dropped',
+        )
+    return body
+
+
 def read_revision(body: bytes) -> int:
     """Decode a revision of the store.
 
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -159,6 +159,14 @@
         tracked = self._flows.get(flow)
         return tracked is not None and not tracked.confirmed
 
+    def knows(self, flow: bytes) -> bool:
+        """Return whether any packet of a flow may have reached the server."""
+        return (
+            flow in self._flows
+            or flow in self._ended
+            or flow in self._unanswered_openings
+        )
+
     def acknowledges_acceptance(self, item: packet.Packet) -> bool:
         """Return whether a caller's packet acknowledges the acceptance.
 
