--- a/tests/packets/test_handing_on.py
+++ b/tests/packets/test_handing_on.py
@@ -19,6 +19,7 @@
 from teaseldock.packets import control_budget
 from teaseldock.packets import expected_wait
 from teaseldock.packets import handing_on
+from teaseldock.packets import hints
 from teaseldock.packets import load_query
 from teaseldock.packets import placing
 from teaseldock.packets import records
@@ -418,13 +419,17 @@
     """Guards against the hand-off of an opening that the server may have.
 
     The first copy goes to the server, which has not accepted it yet when the
-    duplicate arrives and another server is free.
+    duplicate arrives and another server is free. The tracker forgets openings
+    without an answer as soon as the server sends any packet.
     """
     scene = Scene(monkeypatch)
     world = scene.world
     world.servers[FIRST].silent = True
     order = scene.order()
     world.run(0.02)
+    world.from_server(
+        FIRST, packet_codec.make_packet(bytes(12), accepting=True)
+    )
     scene.make_busy(FIRST)
     scene.notify(FIRST, SECOND)
     raw = packet_codec.make_packet(order.flow, opening=True).raw
@@ -436,29 +441,147 @@
     check_promises(world)
 
 
+def test_the_opening_of_a_held_flow_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the hand-off of a flow that is open here.
+
+    A duplicate of its opening arrives after the decision about the first copy
+    has expired. The flow would count as not held.
+    """
+    scene = Scene(monkeypatch)
+    world = scene.world
+    feed = world.request(feed=True)
+    world.run(handing_on.DECISION_TTL_S + 1.0)
+    scene.make_busy(FIRST)
+    scene.notify(FIRST, SECOND)
+    raw = packet_codec.make_packet(feed.flow, opening=True).raw
+    world.send_datagram(
+        world.seeds[0], FIRST, control.pack(control.KIND_PACKET, 0, TAG, raw)
+    )
+    # A server doesn't accept an open flow again, as the simulated one would.
+    world.servers[FIRST].silent = True
+    world.run(0.1)
+    world.servers[FIRST].silent = False
+    feed.ask()
+    world.run(0.5)
+    assert feed.outcome == 'answered'
+    assert not counter(world, 'handed_on')
+    assert accepted_at(world, feed.flow) == [FIRST]
+    check_promises(world)
+
+
 def test_a_copy_follows_when_the_first_agent_refuses_by_now(
-    scene: Scene,
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against the reset of a flow that the second server accepted.
 
-    Its acceptance is late and KIND_MOVED is lost. Then all servers begin to
-    drain, so that the balancer has no other target for the copy.
+    Its acceptance is late and KIND_MOVED is lost. The first agent refuses new
+    flows when the copy arrives, and the balancer knows no other target.
     """
     world = scene.world
+    targets = world.processes[world.seeds[0]].node._targets
+    for_new_flow = targets.for_new_flow
+    monkeypatch.setattr(
+        targets,
+        'for_new_flow',
+        lambda flow, hint, now: [
+            item
+            for item in for_new_flow(flow, hint, now)
+            if item.target.host == FIRST
+        ],
+    )
     scene.drop(control.KIND_MOVED, to=world.seeds[0])
     order = scene.order()
     receive = order.receive
     order.receive = lambda item: None
     world.run(0.05)
     assert order.flow in world.servers[SECOND].flows
-    for server in world.servers.values():
-        server.draining = True
-        world.store.put(server)
-    world.run(0.3)
+    refuse(world, FIRST, 'draining')
+    world.run(0.1)
     order.receive = receive
-    world.run(1.0)
-    assert not world.resets
+    world.run(0.3)
     assert order.outcome == 'answered'
+    assert not world.resets
+    assert accepted_at(world, order.flow) == [SECOND]
+    check_promises(world)
+
+
+@pytest.mark.parametrize('copy', [1, 2])
+def test_a_repeated_opening_stays(scene: Scene, copy: int) -> None:
+    """Guards against the hand-off of an opening that may be open elsewhere.
+
+    The first copy that reaches this agent is a later one of the caller.
+    """
+    world = scene.world
+    flow = bytes(range(12))
+    raw = packet_codec.make_packet(flow, opening=True, acknowledged=copy).raw
+    world.send_datagram(
+        world.seeds[0], FIRST, control.pack(control.KIND_PACKET, 0, TAG, raw)
+    )
+    world.run(0.02)
+    assert accepted_at(world, flow) == [FIRST]
+    assert not counter(world, 'handed_on')
+
+
+def test_a_notice_of_a_draining_server_is_ignored(scene: Scene) -> None:
+    """Guards against openings for a server whose agent lags."""
+    world = scene.world
+    world.servers[SECOND].draining = True
+    world.store.put(world.servers[SECOND])
+    world.run(1.0)
+    scene.notify(FIRST, SECOND)
+    scene.order()
+    world.run(0.5)
+    assert not counter(world, 'handed_on')
+    check_promises(world)
+
+
+@pytest.mark.parametrize('state', ['hinted', 'searched', 'lost'])
+def test_a_flow_that_was_found_does_not_move(scene: Scene, state: str) -> None:
+    """Guards against a late KIND_MOVED that undoes the result of a search."""
+    world = scene.world
+    node = world.processes[world.seeds[0]].node
+    flow = bytes(range(12))
+    hint = node._hints.add(flow, 'dispatch', hints.HintState(state))
+    hint.host = THIRD
+    moved = control.pack_moved(control.MovedResult.TAKEN, TAG, flow)
+    node.on_datagram(moved, SECOND, world.now)
+    assert hint.host == THIRD
+    hint.state = hints.HintState.OPENING
+    other = control.service_tag('other')
+    moved_other = control.pack_moved(control.MovedResult.TAKEN, other, flow)
+    node.on_datagram(moved_other, SECOND, world.now)
+    assert hint.host == THIRD
+    assert node.meters.counters['moves_ignored'] == 2
+    node.on_datagram(moved, SECOND, world.now)
+    assert hint.host == SECOND
+
+
+def test_a_returned_opening_may_overtake_the_message(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a hint that names an agent that refused the flow.
+
+    KIND_MOVED arrives after the returned opening, when the caller's copy has
+    opened the flow elsewhere.
+    """
+    world = scene.world
+    refuse(world, SECOND, 'draining')
+    send = world.send_datagram
+
+    def delayed(source: str, host: str, datagram: bytes) -> None:
+        wait_s = 0.5 if datagram[1] == control.KIND_MOVED else 0.0
+        world.after(wait_s, lambda: send(source, host, datagram))
+
+    monkeypatch.setattr(world, 'send_datagram', delayed)
+    feed = world.request(feed=True)
+    world.run(1.0)
+    feed.ask()
+    world.run(0.1)
+    assert feed.outcome == 'answered'
+    assert not counter(world, 'moves_followed')
+    assert not counter(world, 'searches')
     check_promises(world)
 
 
@@ -580,15 +703,20 @@
     check_promises(world)
 
 
+@pytest.mark.parametrize('receipts', [True, False])
 @pytest.mark.parametrize('how', REFUSALS)
 def test_an_opening_that_everybody_refuses_ends(
-    scene: Scene, how: str
+    scene: Scene, how: str, receipts: bool
 ) -> None:
     """Guards against an opening that goes around between two agents.
 
-    Both begin to refuse after the hand-off, and no other target is left.
+    Both begin to refuse after the hand-off, and no other target is left. The
+    caller is refused at once. If the first agent doesn't learn that the second
+    one refuses, two copies follow the opening, and the next one is refused.
     """
     world = scene.world
+    if not receipts:
+        scene.drop(control.KIND_MOVED, to=FIRST)
     world.servers[THIRD].draining = True
     world.store.put(world.servers[THIRD])
     world.run(0.5)
@@ -598,9 +726,11 @@
         world.run(0.0001)
     refuse(world, FIRST, how)
     refuse(world, SECOND, how)
-    world.run(0.1)
+    world.run(0.1 if receipts else 0.7)
     assert order.outcome == 'failed'
-    assert order.latency_s < 0.1
+    assert order.latency_s < (0.1 if receipts else 0.7)
+    followed = world.processes[FIRST].node.meters.counters['copies_followed']
+    assert followed == (0 if receipts else handing_on.MAX_FOLLOWING_COPIES)
     assert not accepted_at(world, order.flow)
     check_promises(world)
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -55,10 +55,23 @@
             _log_line(1.0, 'released', flow='a', waited_ms=10, aim_ms=200),
             _log_line(1.0, 'flow found', flow='a', took_ms=12),
             _log_line(1.0, 'changes in force'),
+            _log_line(1.0, 'handed on', flow='a', hand_offs=1),
         ]
     )
 
 
+def test_a_second_hand_off_is_a_cause() -> None:
+    """Guards against a delay by notices that promised too much."""
+    (found,) = explain.losses(
+        [
+            _log_line(1.0, 'handed on', flow='a', hand_offs=1),
+            _log_line(1.1, 'handed on', flow='a', hand_offs=2),
+        ]
+    )
+    assert found.cause == 'handed on more than once'
+    assert found.first.at == 1.1
+
+
 def test_a_folder_of_logs_becomes_a_table(tmp_path: pathlib.Path) -> None:
     """Each row has cause, process and flow."""
     text = _log_text(
--- a/tools/explain.py
+++ b/tools/explain.py
@@ -78,6 +78,8 @@
         return line.event
     if line.event == 'placed' and fields.get('copy', 0) > _FIRST_COPY:
         return 'opening placed at a repetition only'
+    if line.event == 'handed on' and fields.get('hand_offs', 0) > 1:
+        return 'handed on more than once'
     if line.event == 'released':
         late = fields.get('waited_ms', 0) > fields.get('aim_ms', 0)
         return 'waited longer than its objective' if late else None
