--- a/packages/teaseldock/teaseldock/packets/handing_on.py
+++ b/packages/teaseldock/teaseldock/packets/handing_on.py
@@ -447,12 +447,13 @@
         refuses = self._refuses(now)
         earlier = self._policy.decision(item.flow, now)
         if earlier is not None and earlier.host is not None:
+            # The decision stands while a later copy is kept here: the other
+            # server may still have accepted the first one.
+            refuses = refuses and not self._tracker.half_open(item.flow)
             # The network may duplicate the first copy.
-            if (refuses or not item.acknowledged) and self._follow(
-                item, earlier, balancer
-            ):
-                return True
-        elif earlier is None and not refuses and not item.acknowledged:
+            follows = refuses or not item.acknowledged
+            return follows and self._follow(item, earlier, balancer)
+        if earlier is None and not refuses and not item.acknowledged:
             if self._hand_on(item, balancer, sender, hand_offs, now):
                 return True
         if not refuses:
--- a/tests/packets/test_handing_on.py
+++ b/tests/packets/test_handing_on.py
@@ -507,6 +507,39 @@
     check_promises(world)
 
 
+@pytest.mark.parametrize('accepts', [False, True])
+def test_a_copy_follows_although_one_was_kept(
+    scene: Scene, accepts: bool
+) -> None:
+    """Guards against a decision that is lost when a later copy is kept.
+
+    The second server has accepted the opening, and the first agent's server
+    may have accepted a copy. Then the first agent refuses new flows.
+    """
+    world = scene.world
+    order = scene.order()
+    order.receive = lambda item: None
+    world.run(0.05)
+    world.servers[FIRST].silent = not accepts
+
+    def send(copy: int) -> None:
+        raw = packet_codec.make_packet(
+            order.flow, opening=True, acknowledged=copy
+        ).raw
+        packed = control.pack(control.KIND_PACKET, 0, TAG, raw)
+        world.send_datagram(world.seeds[0], FIRST, packed)
+        world.run(0.02)
+
+    send(1)
+    refuse(world, FIRST, 'draining')
+    before = {host: len(s.opened) for host, s in world.servers.items()}
+    send(2)
+    holder = FIRST if accepts else SECOND
+    assert len(world.servers[holder].opened) == before[holder] + 1
+    assert not world.events('given back')
+    assert counter(world, 'handed_on') == 1
+
+
 @pytest.mark.parametrize('copy', [1, 2])
 def test_a_repeated_opening_stays(scene: Scene, copy: int) -> None:
     """Guards against the hand-off of an opening that may be open elsewhere.
