Hand off by the whole backlog, and follow new signatures in its tests

Cause: an agent compared only requests of the same or a higher priority with what others promise for all requests. Orders stayed at servers full of feeds and delayed those. Change: an opening is handed off by the expected wait behind all requests, as in notices. Tests that replace placing.pick take its new arguments. Measured: tests/packets/test_handing_on.py passes.

--- a/packages/teaseldock/teaseldock/packets/handing_on.py
+++ b/packages/teaseldock/teaseldock/packets/handing_on.py
@@ -480,7 +480,9 @@
             return False
         if self._tracker.knows(item.flow):
             return False
-        own = self._admission.expected_wait(now, route.priority)
+        # Requests of lower priority count too: they stay behind with their
+        # flows, and an opening that goes elsewhere delays none of them.
+        own = self._admission.expected_wait(now)
         choice = self._policy.choose(
             own,
             aim_s=route.aim_ms / 1000,
--- a/tests/packets/test_handing_on.py
+++ b/tests/packets/test_handing_on.py
@@ -100,7 +100,10 @@
         """Let balancers prefer these hosts for new flows, in this order."""
 
         def pick(
-            considered: list[placing.Candidate], *, data_centre: str
+            considered: list[placing.Candidate],
+            *,
+            data_centre: str,
+            aim_s: float,
         ) -> placing.Candidate:
             return min(
                 considered,
@@ -952,9 +955,7 @@
     for index in range(4, 12):
         add(index)
     world.run(2.0)
-    monkeypatch.setattr(
-        placing, 'pick', lambda considered, *, data_centre: considered[0]
-    )
+    monkeypatch.setattr(placing, 'pick', lambda considered, **_: considered[0])
     for process in world.balancers():
         process.node._may_query = lambda now: False
 
@@ -1014,9 +1015,7 @@
     world = packet_world.small_world(
         servers=6, slots=1, service_s=0.06, seed=int(100 * loss)
     )
-    monkeypatch.setattr(
-        placing, 'pick', lambda considered, *, data_centre: considered[0]
-    )
+    monkeypatch.setattr(placing, 'pick', lambda considered, **_: considered[0])
     world.loss = loss
     requests = []
     for step in range(300):
