Soak: slow servers and bursts of requests

Cause: the soak had no overload, so that hand-off, expected waits and the send queue were played without load. Change: two kinds of faults; half of the servers are 5 to 20 times slower for a while, and requests come 2 to 5 times as often.

--- a/packages/teaseldock/teaseldock/packets/send_queue.py
+++ b/packages/teaseldock/teaseldock/packets/send_queue.py
@@ -1,9 +1,9 @@
 """Pace the datagrams of a balancer to the speed of a slow link.
 
-Without it, datagrams leave in the order of arrival. On links of 5 Mbit/s up to
-23 % of the openings were queued behind the packets of uploads, or dropped, so
-that their callers had to repeat them. Packets of uploads that waited longer
-than 200 ms were sent again, which filled the link further.
+Without it, datagrams leave in the order of arrival. Openings wait behind the
+packets of uploads, or are dropped, so that their callers have to repeat them.
+Packets of uploads that wait longer than 200 ms are sent again, which fills the
+link further.
 """
 
 from __future__ import annotations
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,8 @@
             self._configure_many,
             self._evacuate,
             self._lose_packets,
+            self._slow_servers,
+            self._burst,
         ]
         while time.monotonic() < until:
             kind = self._random.choice(kinds)
@@ -183,3 +185,20 @@
         self._world.fabric.loss = 0.05
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
         self._world.fabric.loss = 0.0
+
+    async def _slow_servers(self) -> None:
+        """Make half of the servers slow, so that requests queue there."""
+        slow = self._random.sample(
+            self._world.servers, len(self._world.servers) // 2
+        )
+        for server in slow:
+            server.slowdown = self._random.uniform(5.0, 20.0)
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        for server in slow:
+            server.slowdown = 1.0
+
+    async def _burst(self) -> None:
+        """Send several times the usual requests for a while."""
+        self._world.burst = self._random.uniform(2.0, 5.0)
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        self._world.burst = 1.0
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -59,6 +59,7 @@
 
     :ivar flows: the server's initial sequence number of each open flow.
     :ivar silent: whether the server ignores all packets.
+    :ivar slowdown: factor of the service time of new requests.
     :ivar disturbed_at: steady clock at the last crash or end of a silence.
     """
 
@@ -77,6 +78,7 @@
         self.service = service
         self.flows: dict[network.Flow, int] = {}
         self.silent = False
+        self.slowdown = 1.0
         self.draining_since: float | None = None
         self.disturbed_at = 0.0
         self._incarnation = 0
@@ -211,7 +213,7 @@
         self._journal.runs[packet.body[: 1 + ID_BYTES]] += 1
         incarnation = self._incarnation
         asyncio.get_running_loop().call_later(
-            self._random.uniform(0.01, 0.05),
+            self.slowdown * self._random.uniform(0.01, 0.05),
             lambda: self._answer(packet, incarnation),
         )
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,8 @@
 _IDLE_PORT = 20_000
 #: Seconds between two checks for processes that have exited.
 _RESTART_S = 0.3
+#: Mean requests a second outside bursts.
+_REQUESTS_PER_S = 40.0
 #: Seconds after the faults until failed requests count; traffic goes on for
 #: twice that time.
 _QUIET_S = 5.0
@@ -38,6 +40,7 @@
     :ivar routes: for each port, when its route was added or removed.
     :ivar evacuations: for each data centre, when evacuations began and ended.
     :ivar quiet_from: steady clock from which failed requests count.
+    :ivar burst: factor of the rate of requests.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
             [p.host for p in self.programs if p.role == 'balancer'],
             self._random,
         )
+        self.burst = 1.0
         self.callers = [
             callers.Caller(number + 1, self.fabric, self._random)
             for number in range(8)
@@ -229,7 +233,9 @@
             )
             running.add(task)
             task.add_done_callback(running.discard)
-            await asyncio.sleep(self._random.expovariate(40))
+            await asyncio.sleep(
+                self._random.expovariate(_REQUESTS_PER_S * self.burst)
+            )
         await asyncio.wait_for(
             asyncio.gather(*running, return_exceptions=False), 60
         )
