Check each overflow against the rule instead of their number

Change: the test checks both conditions for each flow that overflows; the bounds on the share that each service gets stay.

--- a/tests/packets/test_overflow.py
+++ b/tests/packets/test_overflow.py
@@ -220,8 +220,10 @@
     callers.send(8.0, shared=42.0, own=OWN_PER_S)
     world.run(1.0)
     check_promises(world)
-    made = len(callers.requests[SHARED_PORT])
-    assert count(world, 'overflowed') <= 0.03 * made
+    late_ms = 1000 * overflow.LATE_SHARE * AIM_S
+    for event in world.events('overflow'):
+        assert event['from_ms'] >= late_ms
+        assert event['to_ms'] < overflow.GAIN_SHARE * event['from_ms']
     # 336 flows: the standard deviation of the share is 0.022.
     assert 0.73 <= callers.served_by(SMALL, SHARED_PORT, 0.0) <= 0.87
 
