Refuse new flows whose first request would end after its timeout

Cause: no opening was ever refused because of load. In a burst the requests that a server can't run waited at its agent until their timeout. Change: an agent returns an opening as OVERLOADED if, by the order of its queue, the request would end after the timeout of its route. A balancer that got this answer from three agents, or from all, resets the flow, unless a server may have accepted a copy. One of eight requests released goes to the lowest priority that can still meet its objective.

--- a/bench/packet_caller.py
+++ b/bench/packet_caller.py
@@ -34,9 +34,21 @@
     """
 
     def __init__(
-        self, world: packet_world.World, *, feed: bool, tries: int
+        self,
+        world: packet_world.World,
+        *,
+        feed: bool,
+        tries: int,
+        port: int = 443,
+        timeout_s: float | None = None,
     ) -> None:
-        """Open the first flow."""
+        """Open the first flow.
+
+        :param port: port of the route.
+        :param timeout_s: seconds after which the caller gives up; never if
+            None.
+        """
+        self._port = port
         self.world = world
         self.began = world.now
         self.ended = 0.0
@@ -48,6 +60,8 @@
         self.sequence = 0
         self.server_sequence = 0
         self.resets = 0
+        if timeout_s is not None:
+            world.after(timeout_s, self._give_up)
         self._open()
 
     @property
@@ -57,7 +71,7 @@
 
     def _open(self) -> None:
         self.tries -= 1
-        self.flow = self.world.new_flow(self)
+        self.flow = self.world.new_flow(self, self._port)
         self.opened = False
         flow = self.flow
         self._send(flow, opening=True)
@@ -88,6 +102,15 @@
             return
         self._open()
 
+    def _give_up(self) -> None:
+        if self.outcome:
+            return
+        self._finish('failed')
+        if self.opened:
+            self._send(
+                self.flow, resetting=True, acknowledged=self.server_sequence
+            )
+
     def _finish(self, outcome: str) -> None:
         self.outcome = outcome
         self.ended = self.world.now
--- a/bench/packet_costs.py
+++ b/bench/packet_costs.py
@@ -20,6 +20,7 @@
 from teaseldock.packets import holdings
 from teaseldock.packets import knowledge
 from teaseldock.packets import mesh
+from teaseldock.packets import overload
 from teaseldock.packets import placing
 from teaseldock.packets import records
 from teaseldock.packets import store_state
@@ -72,7 +73,11 @@
         records.Changes(0, targets, entries, [], configuration), now=0.0
     )
     usable = candidates.Candidates(
-        known, new_mesh(), store_state.StoreState(), data_centre='dc-0'
+        known,
+        new_mesh(),
+        store_state.StoreState(),
+        overload.OverloadRecord(),
+        data_centre='dc-0',
     )
     hint = hints.Hint('dispatch', hints.HintState.OPENING)
 
@@ -156,7 +161,11 @@
         )
         processes.record_heartbeat(item.host, heartbeat, 0.0)
     usable = candidates.Candidates(
-        known, processes, store_state.StoreState(), data_centre='dc-0'
+        known,
+        processes,
+        store_state.StoreState(),
+        overload.OverloadRecord(),
+        data_centre='dc-0',
     )
     hint = hints.Hint('service-0', hints.HintState.SEARCHED)
     hosts = usable.holders(flow(1), hint, 0.1)
--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -370,23 +370,36 @@
         opened = self._flows[flow].opened if flow in self._flows else False
         self.resets.append((self.now, flow, held and opened))
 
-    def new_flow(self, request: packet_caller.Request) -> bytes:
+    def new_flow(
+        self, request: packet_caller.Request, service_port: int = 443
+    ) -> bytes:
         """Register a new flow of a request and return its key."""
         port = next(self._ports)
         flow = (
             bytes((100, 64, 0, port % 250))
             + SERVICE_HOST
             + port.to_bytes(2, 'big')
-            + (443).to_bytes(2, 'big')
+            + service_port.to_bytes(2, 'big')
         )
         self._flows[flow] = request
         return flow
 
     def request(
-        self, *, feed: bool = False, tries: int = 3
+        self,
+        *,
+        feed: bool = False,
+        tries: int = 3,
+        port: int = 443,
+        timeout_s: float | None = None,
     ) -> packet_caller.Request:
-        """Start a request of a caller on a new flow."""
-        request = packet_caller.Request(self, feed=feed, tries=tries)
+        """Start a request of a caller on a new flow.
+
+        :param port: port of the route.
+        :param timeout_s: seconds after which the caller gives up.
+        """
+        request = packet_caller.Request(
+            self, feed=feed, tries=tries, port=port, timeout_s=timeout_s
+        )
         self.requests.append(request)
         return request
 
@@ -405,6 +418,7 @@
     kind: records.RequestKind = records.RequestKind.IDEMPOTENT,
     aim_ms: int = 150,
     priority: int = 1,
+    timeout_ms: int = 2500,
 ) -> records.Route:
     """Return a route to one service, or to several weighted services."""
     choices = [
@@ -416,7 +430,7 @@
         f'r-{port}',
         choices,
         kind,
-        2500,
+        timeout_ms,
         aim_ms,
         priority,
     )
--- a/packages/teaseldock/teaseldock/packets/admission.py
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -165,15 +165,22 @@
         )
 
     def _terms(self, flow: bytes) -> dispatching.Terms | None:
-        """Return the terms of a flow's requests; None for uploads.
+        """Return the terms of a flow's requests; None for uploads."""
+        if self._route(flow) is None:
+            return DEFAULT_TERMS
+        return self.route_terms(flow)
+
+    def _route(self, flow: bytes) -> records.Route | None:
+        return self._knowledge.route(flows.packed_service_endpoint(flow))
+
+    def route_terms(self, flow: bytes) -> dispatching.Terms | None:
+        """Return the terms of a flow's route; None if unknown, or for uploads.
 
         An upload takes longer to arrive than to process. Uploads that counted
         as running would leave slots idle.
         """
-        route = self._knowledge.route(flows.packed_service_endpoint(flow))
-        if route is None:
-            return DEFAULT_TERMS
-        if route.kind == records.RequestKind.UPLOAD:
+        route = self._route(flow)
+        if route is None or route.kind == records.RequestKind.UPLOAD:
             return None
         return dispatching.Terms(
             route.aim_ms / 1000,
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -12,6 +12,7 @@
 from teaseldock.packets import holdings
 from teaseldock.packets import locate_responder
 from teaseldock.packets import node
+from teaseldock.packets import overload
 from teaseldock.packets import relaying
 from teaseldock.packets import reporting
 from teaseldock.packets import searching
@@ -45,6 +46,7 @@
     LEAVING = 2
     EVACUATED = 3
     COLD = 4
+    OVERLOADED = overload.REASON_OVERLOADED
 
 
 class Agent(node.Node):
@@ -77,6 +79,12 @@
             meters=self._meters,
             now=now,
         )
+        self._overload = overload.OverloadGate(
+            self._admission,
+            log_fields=lambda: self._log_fields,
+            reporter=self._reporter,
+            now=now,
+        )
         self._server_run: tuple[str, int] | None = None
         self._saw_server_start = False
         self._began = now
@@ -244,6 +252,7 @@
         """Run the periodic tasks that are due."""
         super().tick(now)
         self._admission.tick(now)
+        self._overload.tick(now)
         self._relay.tick(now)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_INTERVAL_S
@@ -305,7 +314,11 @@
             )
             return
         item = self._io.read_packet(envelope.body)
-        refusal = self._refusal_reason(now) if item.opening else None
+        refusal = None
+        if item.opening:
+            refusal = self._refusal_reason(now)
+            if refusal is None and self._is_overloaded(envelope, item, now):
+                refusal = Reason.OVERLOADED
         if refusal is not None and not self._tracker.half_open(item.flow):
             # A copy of an opening that the server has accepted is forwarded.
             # If it were returned, a balancer without another target would
@@ -322,10 +335,24 @@
             return
         if item.opening:
             self._warming.note_opening(now)
+            self._overload.note_accepted(item.flow, now)
+        elif item.length:
+            self._overload.note_request(item.flow)
         if self._admission.hold_if_waiting(item, host, now):
             return
         self._to_server(item, host)
 
+    def _is_overloaded(
+        self, envelope: control.Envelope, item: packet.Packet, now: float
+    ) -> bool:
+        """Return whether the request of a new flow would end too late."""
+        if envelope.detail == overload.DETAIL_KEEP:
+            return False
+        if self._tracker.tracks(item.flow):
+            # A late copy of the opening of a flow that is open here.
+            return False
+        return self._overload.refuses(item, now)
+
     def _to_server(self, item: packet.Packet, host: str) -> None:
         self._io.to_server(item, bytes(map(int, host.split('.'))))
 
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -14,13 +14,14 @@
 from teaseldock.packets import locating
 from teaseldock.packets import mesh
 from teaseldock.packets import node
+from teaseldock.packets import overload
 from teaseldock.packets import placing
+from teaseldock.packets import records
 from teaseldock.packets import reporting
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import packet
     from teaseldock.packets import peer as peers
-    from teaseldock.packets import records
 
 #: Packets kept while the balancer holds no store state yet, and the seconds
 #: for which they are useful: by then the caller has sent a copy. Refusing them
@@ -48,10 +49,12 @@
         """Create a balancer; options as for :class:`node.Node`."""
         super().__init__(is_balancer=True, **options)
         self._hints = hints.Hints()
+        self._overload = overload.OverloadRecord()
         self._targets = candidates.Candidates(
             self._knowledge,
             self._mesh,
             self._store,
+            self._overload,
             data_centre=self._data_centre,
         )
         self._locator = locating.Locator(
@@ -213,6 +216,12 @@
         if route is None:
             self._refuse(item, 'no route')
             return
+        if self._overload.was_refused(item):
+            self._io.reset_caller(item)
+            return
+        if route.kind != records.RequestKind.UPLOAD:
+            # Agents don't queue uploads, and never refuse them.
+            self._overload.note_opening(item, route.priority, now)
         hint = self._hints.get(item.flow)
         if hint is None or hint.state is not hints.HintState.OPENING:
             service = self._service_of(route, item.flow)
@@ -239,7 +248,13 @@
 
         :param group: number of the group of candidates to consider.
         """
+        if self._overload.enough_answers(item.flow):
+            self._refuse_overloaded(item, hint, now)
+            return
         usable = self._targets.for_new_flow(item.flow, hint, now)
+        if not usable and self._targets.are_overloaded(item.flow, hint, now):
+            self._refuse_overloaded(item, hint, now)
+            return
         if not usable and not hint.denied.issuperset(hint.tried):
             # An earlier copy is still on its way to a target that has not
             # denied it. A refusal now could reset the flow just as it opens
@@ -347,6 +362,24 @@
         )
         self._forward(item, hint)
 
+    def _refuse_overloaded(
+        self, item: packet.Packet, hint: hints.Hint, now: float
+    ) -> None:
+        """Refuse a flow that no agent takes, unless it may be opening."""
+        host = self._overload.unanswered(item.flow)
+        if host is not None:
+            # Its server may have accepted a copy; its agent answers whether.
+            hint.host = host
+            self._meters.counters['copies_followed'] += 1
+            self._forward(item, hint)
+            return
+        if not self._overload.is_recent(item.flow, now):
+            self._meters.counters['overload_answers_late'] += 1
+            return
+        self._overload.note_refused(item.flow)
+        self._meters.counters['refused_overloaded'] += 1
+        self._refuse(item, 'overloaded')
+
     def _refuse(self, item: packet.Packet, why: str) -> None:
         """Reset a flow that is not open; none of its requests has run."""
         self._meters.counters['refused'] += 1
@@ -367,9 +400,12 @@
         if hint.host is None:
             self._meters.counters['dropped_no_target'] += 1
             return
+        detail = 0
+        if item.opening:
+            detail = self._overload.note_forwarded(item.flow, hint.host)
         self._io.to_process(
             hint.host,
-            control.pack(control.KIND_PACKET, 0, hint.tag, item.raw),
+            control.pack(control.KIND_PACKET, detail, hint.tag, item.raw),
         )
 
     def _on_envelope(
@@ -395,6 +431,8 @@
         if hint is None:
             self._meters.counters['dropped_returned'] += 1
             return
+        if item.opening:
+            self._overload.note_returned(item.flow, host, envelope.detail, now)
         self._on_returned(item, hint, host, now)
 
     def _on_returned(
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -18,6 +18,7 @@
 if typing.TYPE_CHECKING:
     from teaseldock.packets import hints
     from teaseldock.packets import knowledge
+    from teaseldock.packets import overload
     from teaseldock.packets import store_state
 
 #: Placements kept for each target; more than reports that are 0.4 s apart
@@ -56,6 +57,7 @@
         known: knowledge.Knowledge,
         processes: mesh.Mesh,
         state: store_state.StoreState,
+        refusals: overload.OverloadRecord,
         *,
         data_centre: str,
     ) -> None:
@@ -66,6 +68,7 @@
         self._knowledge = known
         self._mesh = processes
         self._store = state
+        self._overload = refusals
         self._data_centre = data_centre
         self._placed: dict[Run, collections.deque[float]] = {}
         self._warm_at: dict[Run, _WarmTime] = {}
@@ -139,7 +142,7 @@
     ) -> list[placing.Candidate]:
         """Return the first targets for a new flow in its rank order."""
         first = self._candidates(
-            self._first_in_rank(flow, hint.service, now), hint, now
+            flow, self._first_in_rank(flow, hint.service, now), hint, now
         )
         accepting = [item for item in first if _accepts(item)]
         if accepting:
@@ -149,17 +152,31 @@
         order = placing.ranked(
             flow, targets, near=self.preferred_data_centre(flow)
         )
-        others = self._candidates(order, hint, now)
+        others = self._candidates(flow, order, hint, now)
         accepting = [item for item in others if _accepts(item)]
         return (accepting or others)[:MAX_CANDIDATES]
 
+    def are_overloaded(
+        self, flow: bytes, hint: hints.Hint, now: float
+    ) -> bool:
+        """Tell whether a new flow has no target because of overload."""
+        targets = self._knowledge.placeable(hint.service)
+        hosts = {target.host for target in targets}
+        return self._overload.is_overloaded(flow, hosts, now)
+
     def _candidates(
-        self, targets: list[records.Target], hint: hints.Hint, now: float
+        self,
+        flow: bytes,
+        targets: list[records.Target],
+        hint: hints.Hint,
+        now: float,
     ) -> list[placing.Candidate]:
+        excluded = self._overload.excluded_hosts(flow, now)
+        excluded.update(hint.tried, hint.denied)
         return [
             self._candidate(target, now)
             for target in targets
-            if target.host not in hint.tried and target.host not in hint.denied
+            if target.host not in excluded
         ]
 
     def _first_in_rank(
--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -43,6 +43,16 @@
 #: Requests held. At 2 slots and 30 ms each, 100 requests take 1.5 s, most of
 #: a deadline.
 MAX_REQUESTS = 400
+#: Of the requests released while others wait, at least one in this many goes
+#: to the lowest priority that can still meet its objective. Without a minimum
+#: share, orders at the capacity of the server stop all feeds.
+RELEASES_PER_SHARE = 8
+#: Seconds over which arriving requests are counted: the shortest bursts of the
+#: users last about as long. In a shorter window, the callers that come back at
+#: once after a loss of power would look like a lasting overload.
+ARRIVAL_WINDOW_S = 3.0
+#: Arriving requests counted for each priority; more than a server can serve.
+MAX_ARRIVALS = 4000
 #: Ranks of waiting requests: late ones that go first since their timeout is
 #: near, those that can meet their objective, and those that can't.
 _URGENT, _IN_TIME, _LATE = range(3)
@@ -106,6 +116,20 @@
     running: list[bytes]
 
 
+class Backlog(typing.NamedTuple):
+    """The waiting requests, as a new one of some priority sees them.
+
+    :ivar late: requests of its or a higher priority that can't meet their
+        objective any more.
+    :ivar in_time: requests of its own priority that can.
+    :ivar lower: requests of a lower priority that can.
+    """
+
+    late: int
+    in_time: int
+    lower: int
+
+
 class RequestQueue:
     """The running and waiting requests of one server, by flow."""
 
@@ -121,6 +145,9 @@
         self._answer_s = INITIAL_SERVICE_S
         self._deviation_s = INITIAL_DEVIATION_S
         self._observations = ASSUMED_OBSERVATIONS
+        # Requests released since the lowest priority had its share.
+        self._passed_over = 0
+        self._arrivals: dict[int, collections.deque[float]] = {}
 
     @property
     def waiting(self) -> int:
@@ -160,6 +187,10 @@
         :param since: time at which the caller first sent it, if known.
         :returns: the request if it must wait, else None.
         """
+        arrivals = self._arrivals.setdefault(
+            terms.priority, collections.deque(maxlen=MAX_ARRIVALS)
+        )
+        arrivals.append(now)
         full = len(self._running) >= slots + EXTRA_REQUESTS
         if (full or self._waiting) and len(self._waiting) < MAX_REQUESTS:
             item = WaitingRequest(flow, terms, since)
@@ -234,6 +265,28 @@
             for item in self._waiting.values()
         )
 
+    def backlog(self, priority: int, now: float) -> Backlog:
+        """Return the waiting requests as a new one of a priority sees them."""
+        late = in_time = lower = 0
+        for item in self._waiting.values():
+            rank = self._sort_key(item, now)[0]
+            if rank == _LATE:
+                late += item.terms.priority <= priority
+            elif rank == _IN_TIME:
+                in_time += item.terms.priority == priority
+                lower += item.terms.priority > priority
+        return Backlog(late, in_time, lower)
+
+    def arrival_rate(self, priority: int, now: float) -> float:
+        """Return the requests a second of a priority and all higher ones."""
+        count = 0
+        for of_priority, arrivals in self._arrivals.items():
+            while arrivals and now - arrivals[0] >= ARRIVAL_WINDOW_S:
+                arrivals.popleft()
+            if of_priority <= priority:
+                count += len(arrivals)
+        return count / ARRIVAL_WINDOW_S
+
     def drop(self, flow: bytes) -> None:
         """Drop the request of a flow that has ended."""
         self._waiting.pop(flow, None)
@@ -248,15 +301,57 @@
         """Remove and return the requests to send to the server now."""
         released = []
         while self._waiting and len(self._running) < slots + EXTRA_REQUESTS:
-            item = min(
-                self._waiting.values(),
-                key=lambda item: self._sort_key(item, now),
-            )
+            item = self._next(slots, now)
             del self._waiting[item.flow]
             self.begin(item.flow, item.terms, slots=slots, now=now)
             released.append(item)
         return released
 
+    def _next(self, slots: int, now: float) -> WaitingRequest:
+        """Return the waiting request that goes to the server next."""
+
+        def order(item: WaitingRequest) -> tuple[int, float, float]:
+            return self._sort_key(item, now)
+
+        first = min(self._waiting.values(), key=order)
+        lower = [
+            item
+            for item in self._waiting.values()
+            if item.terms.priority > first.terms.priority
+            and order(item)[0] == _IN_TIME
+        ]
+        if not lower:
+            self._passed_over = 0
+            return first
+        self._passed_over += 1
+        if self._passed_over < RELEASES_PER_SHARE:
+            return first
+        if self._is_urgent(slots, now):
+            return first
+        self._passed_over = 0
+        lowest = max(item.terms.priority for item in lower)
+        return min(
+            (item for item in lower if item.terms.priority == lowest),
+            key=order,
+        )
+
+    def _is_urgent(self, slots: int, now: float) -> bool:
+        """Tell whether a delay could cost a non-idempotent request its answer.
+
+        One that can't meet its objective goes first only shortly before its
+        timeout. If many of them do at once, they need the slots for longer.
+        """
+        timeouts = [
+            item.since + item.terms.timeout_s
+            for item in self._waiting.values()
+            if item.terms.guarded and self._sort_key(item, now)[0] != _IN_TIME
+        ]
+        if not timeouts:
+            return False
+        needed_s = URGENT_TIME_FACTOR * self._answer_s
+        needed_s += len(timeouts) * self._service_s / max(1, slots)
+        return min(timeouts) - now < needed_s
+
     def _sort_key(
         self, item: WaitingRequest, now: float
     ) -> tuple[int, float, float]:
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -149,6 +149,10 @@
             tracked is not None and tracked.confirmed
         )
 
+    def tracks(self, flow: bytes) -> bool:
+        """Return whether the server may hold a flow, by its packets."""
+        return flow in self._flows
+
     def half_open(self, flow: bytes) -> bool:
         """Return whether a flow is tracked but not confirmed.
 
--- a/tools/explain.py
+++ b/tools/explain.py
@@ -72,6 +72,9 @@
 def cause_of(line: Line) -> str | None:
     """Return the cause that a line gives for a failure or delay, if any."""
     fields = line.fields
+    if line.event == 'given back' and fields.get('why') == 'overloaded':
+        # Another agent may take the flow; if none does, it is refused.
+        return None
     if line.event in ('refused', 'request failed', 'given back'):
         return f'{line.event}: {fields.get("why", "")}'
     if line.event in ('flow lost', 'request given up', 'reset kept back'):
