--- a/packages/teaseldock/teaseldock/packets/dispatching.py
+++ b/packages/teaseldock/teaseldock/packets/dispatching.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import collections
+import operator
 import typing
 
 #: Requests sent to the server beyond its slots: it can start the next one as
@@ -310,15 +311,16 @@
     def _next(self, slots: int, now: float) -> WaitingRequest:
         """Return the waiting request that goes to the server next."""
 
-        def order(item: WaitingRequest) -> tuple[int, float, float]:
-            return self._sort_key(item, now)
-
-        first = min(self._waiting.values(), key=order)
-        lower = [
-            item
+        keyed = [
+            (self._sort_key(item, now), item)
             for item in self._waiting.values()
+        ]
+        _, first = min(keyed, key=operator.itemgetter(0))
+        lower = [
+            (key, item)
+            for key, item in keyed
             if item.terms.priority > first.terms.priority
-            and order(item)[0] == _IN_TIME
+            and key[0] == _IN_TIME
         ]
         if not lower:
             self._passed_over = 0
@@ -329,11 +331,12 @@
         if self._is_urgent(slots, now):
             return first
         self._passed_over = 0
-        lowest = max(item.terms.priority for item in lower)
-        return min(
-            (item for item in lower if item.terms.priority == lowest),
-            key=order,
+        lowest = max(item.terms.priority for _, item in lower)
+        _, chosen = min(
+            (pair for pair in lower if pair[1].terms.priority == lowest),
+            key=operator.itemgetter(0),
         )
+        return chosen
 
     def _is_urgent(self, slots: int, now: float) -> bool:
         """Tell whether a delay could cost a non-idempotent request its answer.
