Refuse no openings that waited during a balancer's pause

Cause: an opening that waited while its balancer stood still looked new. If a server had accepted a later copy through another balancer, and the other agents refused, the balancer reset an open flow. Change: a balancer refuses no flow whose first copy arrives within 0.25 s after a pause of 150 ms. Tests play each of the conditions of a refusal.

--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -135,6 +135,7 @@
     def tick(self, now: float) -> None:
         """Run periodic work."""
         super().tick(now)
+        self._overload.tick(now)
         self._process_early(now)
         for waiting in self._load_queries.overdue(now):
             self._meters.counters['placed_without_answers'] += 1
--- a/packages/teaseldock/teaseldock/packets/overload.py
+++ b/packages/teaseldock/teaseldock/packets/overload.py
@@ -62,6 +62,13 @@
 #: refused. Callers repeat it after 200 ms, perhaps at another balancer, where
 #: a server may accept it; the rest is for the way of the reset.
 REFUSAL_WINDOW_S = 0.15
+#: Seconds between two ticks of a balancer that count as a pause. It ticks each
+#: 50 ms. What arrived during a pause may be old: later copies may have gone to
+#: another balancer.
+PAUSE_S = 0.15
+#: Seconds after a pause in which arriving flows aren't refused: packets that
+#: came during a pause are handled up to 0.2 s later.
+PAUSE_SETTLES_S = 0.25
 #: Number of the last copy of an opening.
 LAST_COPY = 2
 
@@ -361,6 +368,17 @@
             collections.OrderedDict()
         )
         self._answered: dict[int, collections.OrderedDict[str, float]] = {}
+        self._ticked_at: float | None = None
+        self._paused_at = float('-inf')
+
+    def tick(self, now: float) -> None:
+        """Notice pauses of this process; to be called every 50 ms."""
+        self._check_pause(now)
+        self._ticked_at = now
+
+    def _check_pause(self, now: float) -> None:
+        if self._ticked_at is not None and now - self._ticked_at > PAUSE_S:
+            self._paused_at = now
 
     def note_opening(
         self, item: packet.Packet, priority: int, now: float
@@ -371,10 +389,12 @@
         balancer may have forwarded copies that this one doesn't know of.
         """
         self._forget(now)
+        self._check_pause(now)
         known = self._flows.get(item.flow)
         if known is None or not item.acknowledged:
+            recent = now - self._paused_at >= PAUSE_SETTLES_S
             known = _FlowRecord(
-                priority, now, may_refuse=not item.acknowledged
+                priority, now, may_refuse=recent and not item.acknowledged
             )
             self._flows[item.flow] = known
             if len(self._flows) > MAX_OPENINGS:
--- a/tests/packets/test_overload.py
+++ b/tests/packets/test_overload.py
@@ -403,6 +403,156 @@
     assert_refusals_true(world)
 
 
+def refuse_all(
+    world: packet_world.World, patch: pytest.MonkeyPatch, hosts: set[str]
+) -> None:
+    """Let the agents of some hosts refuse all new flows."""
+    for host in hosts:
+        gate = world.processes[host].node._overload
+        patch.setattr(gate, 'refuses', lambda item, now: True)
+
+
+def open_halfway(
+    world: packet_world.World,
+) -> tuple[packet_caller.Request, packet_world.Process]:
+    """Start a feed, and pause its agent once the server has its opening."""
+    feed = world.request(port=FEED_PORT, feed=True)
+    for _ in range(1000):
+        world.run(0.00005)
+        for server in world.servers.values():
+            if feed.flow in {flow for _, flow in server.opened}:
+                process = world.processes[server.host]
+                process.paused = True
+                return feed, process
+    raise AssertionError('no server got the opening')
+
+
+def test_an_unanswered_copy_prevents_the_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset while an acceptance is under way.
+
+    A server has accepted the first copy, but its agent stands still for
+    0.7 s. All other agents refuse the repeated copies.
+    """
+    world = overload_world()
+    feed, process = open_halfway(world)
+    refuse_all(world, monkeypatch, world.servers.keys() - {process.host})
+    world.run(0.7)
+    assert not feed.resets
+    process.resume()
+    world.run(1.0)
+    assert feed.outcome == 'answered' and not feed.resets
+    assert_refusals_true(world)
+
+
+def test_a_restarted_balancer_refuses_no_flow_of_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset by a balancer that doesn't know the first copy.
+
+    A server has accepted the first copy and its agent stands still; the
+    balancers restart, and all other agents refuse new flows. An agent that is
+    told that the flow can't be refused takes it.
+    """
+    world = overload_world()
+    feed, process = open_halfway(world)
+    for balancer in world.balancers():
+        world.start(balancer.host)
+    refuse_all(world, monkeypatch, world.servers.keys() - {process.host})
+    world.run(0.7)
+    process.resume()
+    world.run(2.0)
+    assert feed.outcome == 'answered' and not feed.resets
+    assert_refusals_true(world)
+
+
+def test_a_balancer_that_paused_refuses_no_old_openings(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset for a copy that waited during a pause.
+
+    The first copy waits at a balancer that stands still. The next one goes to
+    another balancer, whose agent accepts it. Then the first one is handled,
+    while the other agents refuse.
+    """
+    world = overload_world(servers=5)
+    feed = world.request(port=FEED_PORT, feed=True)
+    world.run(0.0005)
+    hosts = [process.host for process in world.balancers()]
+    for host in hosts:
+        world.processes[host].paused = True
+    world.run(0.1)
+    [holder] = [h for h in hosts if world.processes[h]._pending_inputs]
+    for host in set(hosts) - {holder}:
+        world.processes[host].resume()
+    world._probe_misses[holder] = 2
+    world.run(0.3)
+    assert feed.opened
+    [server] = [
+        host
+        for host, item in world.servers.items()
+        if feed.flow in {flow for _, flow in item.opened}
+    ]
+    refuse_all(world, monkeypatch, world.servers.keys() - {server})
+    world.processes[holder].resume()
+    world.run(1.0)
+    assert not feed.resets
+    assert_refusals_true(world)
+
+
+def test_late_copies_of_a_refused_flow_reach_no_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a server that accepts what its caller was told is over.
+
+    A copy was sent before the reset arrived, and agents accept again. The
+    second flow is refused by the answers to the first one.
+    """
+    world = overload_world(servers=3, balancers=1)
+    balancer = world.processes['10.0.0.1'].node
+    with monkeypatch.context() as patch:
+        refuse_all(world, patch, set(world.servers))
+        first = world.request(port=FEED_PORT, tries=1)
+        world.run(0.05)
+        second = world.request(port=FEED_PORT, tries=1)
+        world.run(0.02)
+    assert first.outcome == second.outcome == 'failed'
+    assert refusals(world) == 2
+    assert len(world.events('given back')) == 3
+    world.run(overload.EXCLUSION_S)
+    for flow in (first.flow, second.flow):
+        balancer.on_packet(opening(flow, 1), world.now)
+    world.run(0.5)
+    assert_refusals_true(world)
+
+
+def test_late_answers_refuse_at_the_next_copy_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset while the caller repeats its opening.
+
+    The agents stand still, so that the last of three answers arrives 0.17 s
+    after the opening.
+    """
+    world = overload_world(servers=3, balancers=1)
+    balancer = world.processes['10.0.0.1'].node
+    refuse_all(world, monkeypatch, set(world.servers))
+    agents = [world.processes[host] for host in world.servers]
+    for process in agents:
+        process.paused = True
+    feed = world.request(port=FEED_PORT, tries=1)
+    world.run(0.165)
+    for process in agents:
+        process.resume()
+    world.run(0.03)
+    assert balancer._meters.counters['overload_answers_late'] == 1
+    assert not feed.resets
+    world.run(0.05)
+    assert feed.outcome == 'failed' and refusals(world) == 1
+    assert_refusals_true(world)
+
+
 def test_uploads_and_unknown_routes_are_not_refused() -> None:
     """Guards against refusals of flows whose wait the agent doesn't know."""
     world = overload_world()
