--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -387,14 +387,20 @@
         return flow
 
     def request(
-        self, *, feed: bool = False, tries: int = 3, port: int = 443
+        self,
+        *,
+        feed: bool = False,
+        tries: int = 3,
+        port: int = 443,
+        timeout_s: float | None = None,
     ) -> packet_caller.Request:
         """Start a request of a caller on a new flow.
 
         :param port: port of the route.
+        :param timeout_s: seconds after which the caller gives up.
         """
         request = packet_caller.Request(
-            self, feed=feed, tries=tries, port=port
+            self, feed=feed, tries=tries, port=port, timeout_s=timeout_s
         )
         self.requests.append(request)
         return request
@@ -414,6 +420,7 @@
     kind: records.RequestKind = records.RequestKind.IDEMPOTENT,
     aim_ms: int = 150,
     priority: int = 1,
+    timeout_ms: int = 2500,
 ) -> records.Route:
     """Return a route to one service, or to several weighted services."""
     choices = [
@@ -425,7 +432,7 @@
         f'r-{port}',
         choices,
         kind,
-        2500,
+        timeout_ms,
         aim_ms,
         priority,
     )
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -13,6 +13,7 @@
 from teaseldock.packets import holdings
 from teaseldock.packets import locate_responder
 from teaseldock.packets import node
+from teaseldock.packets import overload
 from teaseldock.packets import relaying
 from teaseldock.packets import reporting
 from teaseldock.packets import searching
@@ -46,6 +47,7 @@
     LEAVING = 2
     EVACUATED = 3
     COLD = 4
+    OVERLOADED = overload.REASON_OVERLOADED
 
 
 class Agent(node.Node):
@@ -78,6 +80,12 @@
             meters=self._meters,
             now=now,
         )
+        self._overload = overload.OverloadGate(
+            self._admission,
+            log_fields=lambda: self._log_fields,
+            reporter=self._reporter,
+            now=now,
+        )
         self._server_run: tuple[str, int] | None = None
         self._saw_server_start = False
         self._began = now
@@ -261,6 +269,7 @@
         """Run the periodic tasks that are due."""
         super().tick(now)
         self._admission.tick(now)
+        self._overload.tick(now)
         self._relay.tick(now)
         self._hand_off.tick(now)
         if now >= self._sweep_at:
@@ -360,8 +369,11 @@
             sender=host,
             hand_offs=opening.hand_offs,
         )
-        refused = not passed_on and self._refusal_reason(now) is not None
-        refused = refused and not self._tracker.half_open(item.flow)
+        refused = (
+            not passed_on
+            and self._opening_refusal(envelope, item, now) is not None
+            and not self._tracker.half_open(item.flow)
+        )
         self._hand_off.send_receipt(item.flow, host, now, refused=refused)
         if passed_on:
             return
@@ -402,7 +414,7 @@
         if item.opening and not handed_on:
             if self._hand_off.pass_on(item, host, now):
                 return
-        refusal = self._refusal_reason(now) if item.opening else None
+        refusal = self._opening_refusal(envelope, item, now)
         if refusal is not None and not self._tracker.half_open(item.flow):
             # A copy of an opening that the server has accepted is forwarded.
             # If it were returned, a balancer without another target would
@@ -419,10 +431,38 @@
             return
         if item.opening:
             self._warming.note_opening(now)
+            self._overload.note_accepted(item.flow, now)
+        elif item.length:
+            self._overload.note_request(item.flow)
         if self._admission.hold_if_waiting(item, host, now):
             return
         self._to_server(item, host)
 
+    def _opening_refusal(
+        self, envelope: control.Envelope, item: packet.Packet, now: float
+    ) -> Reason | None:
+        """Return why a packet is returned as a new flow, None if it isn't."""
+        if not item.opening:
+            return None
+        refusal = self._refusal_reason(now)
+        if refusal is None and self._is_overloaded(envelope, item, now):
+            return Reason.OVERLOADED
+        return refusal
+
+    def _is_overloaded(
+        self, envelope: control.Envelope, item: packet.Packet, now: float
+    ) -> bool:
+        """Return whether the request of a new flow would end too late."""
+        if envelope.detail == overload.DETAIL_KEEP:
+            return False
+        if self._tracker.tracks(item.flow):
+            # A late copy of the opening of a flow that is open here.
+            return False
+        if self._hand_off.has_handed_on(item.flow, now):
+            # Another server may have accepted the first copy.
+            return False
+        return self._overload.refuses(item, now)
+
     def _to_server(self, item: packet.Packet, host: str) -> None:
         self._io.to_server(item, bytes(map(int, host.split('.'))))
 
--- a/packages/teaseldock/teaseldock/packets/handing_on.py
+++ b/packages/teaseldock/teaseldock/packets/handing_on.py
@@ -401,6 +401,11 @@
             default=0,
         )
 
+    def has_handed_on(self, flow: bytes, now: float) -> bool:
+        """Tell whether another agent got an earlier copy of an opening."""
+        earlier = self._policy.decision(flow, now)
+        return earlier is not None and earlier.host is not None
+
     def on_moved(self, envelope: control.Envelope, host: str) -> None:
         """Handle the receipt of an opening that this agent handed off."""
         flow = control.read_moved(envelope.body)
