--- a/tests/packets/test_handing_on.py
+++ b/tests/packets/test_handing_on.py
@@ -90,7 +90,9 @@
         monkeypatch.setattr(handing_on, 'MAX_NOTICES_PER_S', 0)
         # All candidates are considered, not only those that have answered.
         monkeypatch.setattr(placing, 'CANDIDATES', servers)
-        monkeypatch.setattr(load_query, 'is_fresh', lambda candidate: False)
+        monkeypatch.setattr(
+            load_query, 'is_fresh', lambda candidate, wait_s: False
+        )
         self.world = packet_world.small_world(
             servers=servers, balancers=balancers
         )
@@ -100,7 +102,10 @@
         """Let balancers prefer these hosts for new flows, in this order."""
 
         def pick(
-            considered: list[placing.Candidate], *, data_centre: str
+            considered: list[placing.Candidate],
+            *,
+            data_centre: str,
+            aim_s: float,
         ) -> placing.Candidate:
             return min(
                 considered,
@@ -953,7 +958,7 @@
         add(index)
     world.run(2.0)
     monkeypatch.setattr(
-        placing, 'pick', lambda considered, *, data_centre: considered[0]
+        placing, 'pick', lambda considered, **options: considered[0]
     )
     for process in world.balancers():
         process.node._may_query = lambda now: False
@@ -1015,7 +1020,7 @@
         servers=6, slots=1, service_s=0.06, seed=int(100 * loss)
     )
     monkeypatch.setattr(
-        placing, 'pick', lambda considered, *, data_centre: considered[0]
+        placing, 'pick', lambda considered, **options: considered[0]
     )
     world.loss = loss
     requests = []
