--- a/packages/teaseldock/teaseldock/packets/admission.py
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -28,9 +28,6 @@
 #: Service time of a cold server as a multiple of that of a warm one, used
 #: until it is measured.
 COLD_SERVICE_FACTOR = 1.6
-#: Share of failed requests above which the server is logged as failing: two
-#: consecutive failures.
-FAILING_THRESHOLD = 0.35
 #: Slots assumed before the server's entry is known: every server can run one
 #: request at a time.
 DEFAULT_SLOTS = 1
@@ -342,9 +339,9 @@
 
     def _note_failing_change(self, now: float) -> None:
         failing = self.failing(now)
-        if (failing > FAILING_THRESHOLD) == self._reported_failing:
+        if (failing > outcomes.FAILING_THRESHOLD) == self._reported_failing:
             return
-        self._reported_failing = failing > FAILING_THRESHOLD
+        self._reported_failing = failing > outcomes.FAILING_THRESHOLD
         self._reporter.note(
             (
                 'server fails requests'
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -271,7 +271,7 @@
             self._targets.suspect(hint.host, now)
             self._query_load(hint.host, now)
         if item.acknowledged:
-            hint.settled = True
+            hint.overflow_forbidden = True
         self._place(item, hint, now)
 
     def _place(
@@ -301,7 +301,7 @@
             self._meters.counters['copies_followed'] += 1
             self._forward(item, hint)
             return
-        if not usable and self._return_to_weights(item, hint):
+        if not usable and self._undo_overflow(item, hint):
             self._place(item, hint, now)
             return
         if not usable:
@@ -315,12 +315,10 @@
             return
         self._place_on_best(item, hint, usable, group, now)
 
-    def _return_to_weights(
-        self, item: packet.Packet, hint: hints.Hint
-    ) -> bool:
-        """Return an opening that overflowed to the service of its weight.
+    def _undo_overflow(self, item: packet.Packet, hint: hints.Hint) -> bool:
+        """Undo an overflow: use the service that the weights choose.
 
-        :returns: whether it is at another service now.
+        :returns: whether the opening's service has changed.
         """
         route = self._knowledge.route(flows.packed_service_endpoint(item.flow))
         if route is None or not hint.overflowed:
@@ -345,7 +343,7 @@
         group: int,
         now: float,
         *,
-        of_others: bool = False,
+        other_services: bool = False,
     ) -> None:
         enough = min(load_query.ENOUGH_ANSWERS, len(members))
         hosts = [member.target.host for member in asked]
@@ -357,7 +355,7 @@
                 group=group,
                 answers_missing=enough - (len(members) - len(asked)),
                 now=now,
-                of_others=of_others,
+                other_services=other_services,
             )
         )
         for host in hosts:
@@ -380,7 +378,7 @@
             usable,
             waiting.group,
             now,
-            others_queried=waiting.of_others,
+            other_services_queried=waiting.other_services,
         )
 
     def _place_on_best(
@@ -391,15 +389,15 @@
         group: int,
         now: float,
         *,
-        others_queried: bool = False,
+        other_services_queried: bool = False,
     ) -> None:
         """Send a new flow to the best of the candidates considered so far.
 
         Candidates that have just answered take precedence, since the others
         may be gone.
 
-        :param others_queried: whether the candidates of the route's other
-            services have been queried.
+        :param other_services_queried: whether the candidates of the route's
+            other services have been queried.
         """
         considered = usable[: group * placing.CANDIDATES]
         wait_s = self._load_queries.round_trips.wait_s
@@ -411,19 +409,42 @@
             answered or considered, data_centre=self._data_centre, aim_s=aim_s
         )
         more = len(usable) > len(considered) and group < load_query.MAX_GROUPS
-        more = more and not others_queried
+        more = more and not other_services_queried
         if answered and more and placing.is_loaded(chosen, aim_s=aim_s):
             self._place(item, hint, now, group=group + 1)
             return
         others = self._overflow.others(item, hint, answered, now)
-        if not others_queried and self._query_others(
+        if not other_services_queried and self._query_other_services(
             item, hint, others, group, now
         ):
             return
         chosen = (
-            self._overflow.choose(item, hint, answered, others, now) or chosen
+            self._overflow.choose(
+                item, hint, answered, others, now, wait_s=wait_s
+            )
+            or chosen
         )
         self._overflow.note_placed(hint, now)
+        self._send_to_target(
+            item,
+            hint,
+            chosen,
+            candidate_count=len(usable),
+            answer_count=len(answered),
+            now=now,
+        )
+
+    def _send_to_target(
+        self,
+        item: packet.Packet,
+        hint: hints.Hint,
+        chosen: placing.Candidate,
+        *,
+        candidate_count: int,
+        answer_count: int,
+        now: float,
+    ) -> None:
+        """Record the placement of a new flow, and forward its opening."""
         hint.host = chosen.target.host
         self._targets.note_placed(chosen.target, now)
         self._meters.counters['placed'] += 1
@@ -436,8 +457,8 @@
             load=chosen.reported,
             load_age_ms=round(chosen.age_s * 1000),
             **self._note_expected_wait(chosen.wait),
-            candidates=len(usable),
-            answered=len(answered),
+            candidates=candidate_count,
+            answered=answer_count,
             **self._log_fields,
         )
         self._forward(item, hint)
@@ -454,7 +475,7 @@
             'service_ms': round(wait.service_s * 1000),
         }
 
-    def _query_others(
+    def _query_other_services(
         self,
         item: packet.Packet,
         hint: hints.Hint,
@@ -473,7 +494,7 @@
         if not asked or not self._may_query(now):
             return False
         self._query_candidates(
-            item, hint, members, asked, group, now, of_others=True
+            item, hint, members, asked, group, now, other_services=True
         )
         return True
 
@@ -566,8 +587,8 @@
         if item.opening:
             # Another copy may be on its way to the target chosen since.
             if not moved:
-                if not hint.settled:
-                    self._return_to_weights(item, hint)
+                if not hint.overflow_forbidden:
+                    self._undo_overflow(item, hint)
                 self._place(item, hint, now)
             return
         if moved:
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -547,7 +547,8 @@
     try:
         body = _LOAD_REPORT.pack(*fields)
     except struct.error:
-        # Comparing each value with its limit took half of the encoding time.
+        # Values rarely exceed their fields, so the limits are applied only
+        # after an error.
         body = _LOAD_REPORT.pack(*map(min, fields, _LOAD_REPORT_LIMITS))
     return pack(KIND_LOAD, 0, 0, body)
 
--- a/packages/teaseldock/teaseldock/packets/expected_wait.py
+++ b/packages/teaseldock/teaseldock/packets/expected_wait.py
@@ -59,12 +59,12 @@
     free_in_s = [0.0] * (slots - len(elapsed_s))
     free_in_s += [remaining_s(item, service_s) for item in elapsed_s]
     free_in_s.sort()
-    # Each slot takes one of the others in each service time.
+    # Each slot starts one queued request in each service time.
     rounds, index = divmod(max(0, ahead - len(elapsed_s)), slots)
     by_slots_s = free_in_s[index] + rounds * service_s
-    # The first of several slots becomes free earlier than the one that has the
-    # least mean time left, so the elapsed times say less with more slots. By
-    # slots alone, the estimate was a third too late with four slots.
+    # The earliest of several slots becomes free sooner than the smallest of
+    # their mean remaining times, which overestimates the wait. So the elapsed
+    # times have less weight with more slots.
     start_s = by_count_s + (by_slots_s - by_count_s) / slots
     return ExpectedWait(start_s, service_s)
 
--- a/packages/teaseldock/teaseldock/packets/handing_on.py
+++ b/packages/teaseldock/teaseldock/packets/handing_on.py
@@ -18,6 +18,7 @@
 from teaseldock.packets import control
 from teaseldock.packets import control_budget
 from teaseldock.packets import expected_wait
+from teaseldock.packets import outcomes
 from teaseldock.packets import records
 from teaseldock.packets import reporting
 from teaseldock.packets import warming
@@ -31,8 +32,8 @@
 #: Maximum number of hand-offs of one opening: each takes a hop of up to 5 ms,
 #: and agents that are all loaded must not pass an opening around.
 MAX_HAND_OFFS = 2
-#: Seconds for which a notice is valid: some service times; a server that is
-#: free again sends another one after its next request.
+#: Seconds for which a notice is valid, a few service times. A server that is
+#: still free sends another one after its next request.
 NOTICE_TTL_S = 0.2
 #: Number of agents that get a notice, and of notices that an agent sends
 #: within a second. With 36 bytes a notice and headers, they take 0.8 KB/s.
@@ -43,8 +44,9 @@
 #: Maximum number of agents whose notices are kept. An agent gets some 20
 #: notices a second, so that about four are valid at a time.
 MAX_NOTICES = 64
-#: Share of the route's objective that the own wait must exceed.
-WAIT_SHARE = 0.25
+#: Share of the route's objective that the wait at the own server must exceed
+#: before an opening is handed off.
+MIN_OWN_WAIT_SHARE = 0.25
 #: Minimum number of seconds that a hand-off must gain: a hand-off between
 #: data centres takes half of it.
 MIN_GAIN_S = 0.01
@@ -65,7 +67,7 @@
 
 
 class Notice(typing.NamedTuple):
-    """What an agent promises about its server.
+    """The last availability that an agent reported for its server.
 
     :ivar wait: its expected wait, as a :class:`~.expected_wait.ExpectedWait`.
     :ivar flows: number of flows that may still be handed to it.
@@ -80,7 +82,7 @@
 class Choice(typing.NamedTuple):
     """The agent that an opening is handed to.
 
-    :ivar host: its instance.
+    :ivar host: IPv4 address of its instance.
     :ivar wait: the wait that it promised.
     :ivar age_s: age of its notice.
     """
@@ -210,7 +212,10 @@
         :param sender: agent that the opening came from, None for a balancer.
         :param hand_offs: number of hand-offs so far.
         """
-        if hand_offs >= MAX_HAND_OFFS or own.start_s <= WAIT_SHARE * aim_s:
+        if (
+            hand_offs >= MAX_HAND_OFFS
+            or own.start_s <= MIN_OWN_WAIT_SHARE * aim_s
+        ):
             return None
         without = self._silent_agents(now)
         if sender is not None:
@@ -351,7 +356,7 @@
             return
         if not self._tracker.responsive(now):
             return
-        if self._admission.failing(now) > admission.FAILING_THRESHOLD:
+        if self._admission.failing(now) > outcomes.FAILING_THRESHOLD:
             return
         self._notified_at = now
         entries = self._knowledge.of_service(self._service)
@@ -468,7 +473,7 @@
         hand_offs: int,
         now: float,
     ) -> bool:
-        """Hand off the first copy of an opening if this is sooner.
+        """Hand off the first copy of an opening if it is answered sooner.
 
         Uploads are not handed off: their requests don't wait for a slot. If
         the balancer doesn't learn of the hand-off, it sends the flow's packets
--- a/packages/teaseldock/teaseldock/packets/hints.py
+++ b/packages/teaseldock/teaseldock/packets/hints.py
@@ -38,8 +38,8 @@
     :ivar search: the search in progress, or None.
     :ivar overflowed: whether it went to another service than its route's
         weights chose, see :mod:`teaseldock.packets.overflow`.
-    :ivar settled: whether it must not overflow: an earlier copy of its opening
-        may have been accepted, or it has overflowed before.
+    :ivar overflow_forbidden: whether it must stay at its service: a server may
+        have accepted an earlier copy, or it has returned from an overflow.
     """
 
     __slots__ = (
@@ -51,7 +51,7 @@
         'denied',
         'search',
         'overflowed',
-        'settled',
+        'overflow_forbidden',
     )
 
     def __init__(self, service: str, state: HintState) -> None:
@@ -64,7 +64,7 @@
         self.denied: set[str] = set()
         self.search: searching.Search | None = None
         self.overflowed = False
-        self.settled = False
+        self.overflow_forbidden = False
 
     @property
     def may_overflow(self) -> bool:
@@ -73,7 +73,7 @@
         Only if no server can have accepted the opening: it was sent to no
         target yet, or the only target has returned it.
         """
-        if self.settled or self.overflowed:
+        if self.overflow_forbidden or self.overflowed:
             return False
         return self.host is None or self.host in self.denied
 
@@ -94,7 +94,7 @@
         self.tag = control.service_tag(service)
         self.overflowed = overflowed
         if not overflowed:
-            self.settled = True
+            self.overflow_forbidden = True
 
 
 class Hints:
--- a/packages/teaseldock/teaseldock/packets/load_query.py
+++ b/packages/teaseldock/teaseldock/packets/load_query.py
@@ -26,7 +26,7 @@
 #: choices brings most of the gain, and with two a dead candidate causes no
 #: delay.
 ENOUGH_ANSWERS = 2
-#: Least and greatest number of seconds after which a flow is placed with the
+#: Minimum and maximum number of seconds after which a flow is placed with the
 #: answers received so far. Within a data centre answers take 2 ms; 15 ms is a
 #: tenth of the time that a request may take. Between data centres that are 5.4
 #: ms apart, answers take 11 ms or more. A flow that waits for longer than 50
@@ -132,7 +132,7 @@
     :ivar hint: hint of the flow.
     :ivar group: number of the group of candidates, from 1.
     :ivar answers_missing: number of answers that the flow still waits for.
-    :ivar of_others: whether candidates of the route's other services are
+    :ivar other_services: whether candidates of the route's other services are
         queried, see :mod:`teaseldock.packets.overflow`.
     """
 
@@ -145,14 +145,14 @@
         group: int,
         answers_missing: int,
         now: float,
-        of_others: bool = False,
+        other_services: bool = False,
     ) -> None:
         """Create a query that none of the hosts has answered."""
         self.item = item
         self.hint = hint
         self.group = group
         self.answers_missing = answers_missing
-        self.of_others = of_others
+        self.other_services = other_services
         self._unanswered = set(hosts)
         self._started_at = now
 
--- a/packages/teaseldock/teaseldock/packets/outcomes.py
+++ b/packages/teaseldock/teaseldock/packets/outcomes.py
@@ -19,6 +19,9 @@
 #: new flows. It is tried again within about three time constants after its
 #: last failure, and a single further failure excludes it again.
 DECAY_S = 3.0
+#: Share of failed requests above which a server counts as failing: two
+#: consecutive failures.
+FAILING_THRESHOLD = 0.35
 
 
 class Outcomes:
--- a/packages/teaseldock/teaseldock/packets/overflow.py
+++ b/packages/teaseldock/teaseldock/packets/overflow.py
@@ -19,6 +19,7 @@
 from teaseldock.packets import expected_wait
 from teaseldock.packets import hints
 from teaseldock.packets import load_query
+from teaseldock.packets import outcomes
 from teaseldock.packets import placing
 from teaseldock.packets import reporting
 
@@ -39,7 +40,7 @@
 #: Largest wait to begin elsewhere, as a share of the route's objective. The
 #: other service's own callers then wait for at most this long behind flows
 #: that came by overflow.
-WAIT_SHARE = 0.25
+MAX_TARGET_WAIT_SHARE = 0.25
 #: Seconds over which the flows sent to a service are counted, and the largest
 #: share of them that may come by overflow. Balancers don't know each other's
 #: placements; without the bound all of them would send their flows to the
@@ -52,10 +53,6 @@
 #: Services queried for one flow besides the first, those with the largest
 #: weights, which bounds the queries of routes with many services.
 MAX_OTHER_SERVICES = 2
-#: Share of failed requests above which a server gets no flows by overflow. A
-#: server that fails its requests looks idle. Two consecutive failures exceed
-#: it.
-MAX_FAILING = 0.35
 
 
 class _Placement(typing.NamedTuple):
@@ -78,6 +75,7 @@
     slots = max(1, candidate.target.slots)
     reported = candidate.reported
     present = reported.running + reported.queued if reported else 0
+    # A report without a service time carries 0.
     service_s = placing.service_s(candidate) or dispatching.INITIAL_SERVICE_S
     if candidate.wait is None:
         start_s = expected_wait.estimate(
@@ -97,14 +95,19 @@
     return completion(candidate).total_s
 
 
-def _may_take(candidate: placing.Candidate) -> bool:
-    """Tell whether a candidate may get a flow by overflow, by its report."""
+def _may_take(candidate: placing.Candidate, wait_s: float) -> bool:
+    """Tell whether a candidate may get a flow by overflow, by its report.
+
+    A server that fails its requests looks idle, so it gets none.
+
+    :param wait_s: seconds that the flow may have waited for reports.
+    """
     reported = candidate.reported
     return (
         reported is not None
         and reported.accepting
-        and load_query.is_fresh(candidate)
-        and candidate.failing <= MAX_FAILING
+        and load_query.is_fresh(candidate, wait_s)
+        and candidate.failing <= outcomes.FAILING_THRESHOLD
     )
 
 
@@ -182,7 +185,7 @@
             return []
         services = [name for name in services if self.has_room(name, now)]
         if not services:
-            self._refuse(item, hint, best, 'share')
+            self._note_refused(item, hint, best, 'share')
             return []
         groups = []
         for service in services:
@@ -213,29 +216,34 @@
         first: list[placing.Candidate],
         others: list[list[placing.Candidate]],
         now: float,
+        *,
+        wait_s: float = load_query.ANSWER_WAIT_S,
     ) -> placing.Candidate | None:
         """Return the target of a flow at another service.
 
         The hint then names that service.
 
         :param others: the result of :meth:`others`.
+        :param wait_s: seconds that the flow may have waited for reports.
         :returns: None if the weights apply.
         """
         route = self._knowledge.route(flows.packed_service_endpoint(item.flow))
         if route is None or not others:
             return None
         best = min(first, key=_completion_s)
-        usable = [one for group in others for one in group if _may_take(one)]
+        usable = [
+            one for group in others for one in group if _may_take(one, wait_s)
+        ]
         if not usable:
-            self._refuse(item, hint, best, 'no fresh load')
+            self._note_refused(item, hint, best, 'no fresh load')
             return None
         chosen = min(usable, key=_completion_s)
         wait = completion(chosen)
         if wait.total_s >= GAIN_SHARE * _completion_s(best):
-            self._refuse(item, hint, best, 'not sooner', chosen)
+            self._note_refused(item, hint, best, 'not sooner', chosen)
             return None
-        if wait.start_s >= WAIT_SHARE * route.aim_ms / 1000:
-            self._refuse(item, hint, best, 'busy', chosen)
+        if wait.start_s >= MAX_TARGET_WAIT_SHARE * route.aim_ms / 1000:
+            self._note_refused(item, hint, best, 'busy', chosen)
             return None
         self._meters.counters['overflowed'] += 1
         self._note('overflow', item, hint, best, chosen)
@@ -244,7 +252,7 @@
         hint.move_to(service, overflowed=True)
         return chosen
 
-    def _refuse(
+    def _note_refused(
         self,
         item: packet.Packet,
         hint: hints.Hint,
--- a/packages/teaseldock/teaseldock/packets/peer.py
+++ b/packages/teaseldock/teaseldock/packets/peer.py
@@ -28,9 +28,9 @@
 REPORT_TIMEOUT_S = 1.3
 REPORT_RETRY_S = 5.0
 #: Seconds for which the last reported service time of an agent's server is
-#: used. A balancer that places 25 flows a second with three queries each asks
-#: each of 136 agents every 1.8 s. A slow server that gets no new flows is
-#: tried again after this time, although no report has shown its recovery.
+#: used, longer than the usual interval between two queries to an agent. A slow
+#: server that gets no new flows is tried again after this time, although no
+#: report has shown its recovery.
 SERVICE_TIME_TTL_S = 5.0
 #: Age of the last heartbeat, in seconds, from which an agent is asked for
 #: another one instead of a short report. Heartbeats tell which flows may be at
--- a/packages/teaseldock/teaseldock/packets/send_queue.py
+++ b/packages/teaseldock/teaseldock/packets/send_queue.py
@@ -170,7 +170,7 @@
                 data = None
         waiting = _Waiting(datagram, host, now, data)
         ordered = data is not None or not small
-        if not self._has_room(waiting, now, ordered=ordered):
+        if not self._make_room(waiting, now, ordered=ordered):
             self._note_dropped(waiting, 'queue full', now)
             return
         (self._large if ordered else self._small).append(waiting)
@@ -182,10 +182,13 @@
         self._meters.counters['link_queued'] += 1
         self._note_delay(now)
 
-    def _has_room(
+    def _make_room(
         self, waiting: _Waiting, now: float, *, ordered: bool
     ) -> bool:
-        """Tell whether a datagram fits; a small one displaces large ones."""
+        """Drop the newest large datagrams if a small one needs room.
+
+        :returns: whether the datagram fits.
+        """
         limit = self._max_bytes - waiting.size
         while self._waiting_bytes > limit and self._large and not ordered:
             displaced = self._large.pop()
--- a/tests/packets/test_handing_on.py
+++ b/tests/packets/test_handing_on.py
@@ -1070,7 +1070,7 @@
     assert hand_offs < handing_on.MAX_HAND_OFFS
     assert choice.host != FIRST
     assert choice.age_s < handing_on.NOTICE_TTL_S
-    assert own.start_s > handing_on.WAIT_SHARE * AIM_S
+    assert own.start_s > handing_on.MIN_OWN_WAIT_SHARE * AIM_S
     gain_s = own.total_s - choice.wait.total_s
     assert gain_s >= max(handing_on.MIN_GAIN_S, choice.wait.service_s)
 
--- a/tests/packets/test_overflow.py
+++ b/tests/packets/test_overflow.py
@@ -461,7 +461,7 @@
     # The loads of the large service are no longer fresh.
     world.run(0.05)
     since, asked = world.now, []
-    query_others = balancer.Balancer._query_others
+    query_others = balancer.Balancer._query_other_services
 
     def change_after_query(node: typing.Any, *args: typing.Any) -> bool:
         queried = query_others(node, *args)
@@ -473,7 +473,9 @@
         return queried
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(balancer.Balancer, '_query_others', change_after_query)
+        patch.setattr(
+            balancer.Balancer, '_query_other_services', change_after_query
+        )
         while not asked and world.now < since + 0.1:
             world.request(tries=1)
             world.run(0.01)
@@ -798,7 +800,7 @@
     sent.host = '10.0.1.9'
     assert policy.choose(LATE, sent) is None
     copied = policy.hint()
-    copied.settled = True
+    copied.overflow_forbidden = True
     assert policy.choose(LATE, copied) is None
     # Its only target has returned it.
     sent.denied.add('10.0.1.9')
