--- a/review/standin.py
+++ b/review/standin.py
@@ -181,9 +181,10 @@
         if self._server is not None:
             self._server.close()
 
-    def has(self, key: str) -> bool:
-        """Return whether a key exists."""
-        return key in self._items
+    def value(self, key: str) -> bytes | None:
+        """Return the value of a key, or None."""
+        item = self._items.get(key)
+        return base64.b64decode(item['value']) if item else None
 
     async def put(self, key: str, value: bytes) -> float:
         """Write a value; return the time of the acknowledgement."""
@@ -353,6 +354,13 @@
         self._sequence = 0
         self._born = int(time.time() * 1000)
         self.work_s = 0.01
+        self.beats: list[asyncio.Event] = []
+        self._written = b''
+
+    def open_flow(self, key: tuple) -> bool:
+        """Return whether this target has a flow, with its handshake's end."""
+        flow = self._flows.get(key)
+        return flow is not None and flow.opened and not flow.ended
 
     @property
     def key(self) -> str:
@@ -392,7 +400,8 @@
             'sequence': self._sequence,
             'born': self._born,
         }
-        return await self._world.store.put_json(self.key, entry)
+        self._written = json.dumps(entry).encode()
+        return await self._world.store.put(self.key, self._written)
 
     async def drain(self) -> float:
         """Report that it leaves; return when the store acknowledged it."""
@@ -400,10 +409,20 @@
         return await self.register()
 
     async def _beat(self) -> None:
+        """Write the entry at each heartbeat, if it isn't there as written."""
         while self.up:
             await asyncio.sleep(HEARTBEAT_S)
-            if self.up and not self._world.store.has(self.key):
+            if self.up and self._world.store.value(self.key) != self._written:
                 await self.register()
+            for waiting in self.beats:
+                waiting.set()
+            self.beats.clear()
+
+    async def after_beat(self) -> None:
+        """Wait until the next heartbeat was written."""
+        event = asyncio.Event()
+        self.beats.append(event)
+        await event.wait()
 
     def close(self) -> None:
         """End without a word."""
@@ -727,6 +746,81 @@
         return body.split(b' ')[0].decode()
 
 
+class Feed(Attempt):
+    """A flow that is kept open for many requests, with pauses."""
+
+    def __init__(self, client: Client, sport: int, dport: int) -> None:
+        super().__init__(client, sport, dport)
+        self.reset_at: float | None = None
+        self.pending = ''
+        self.served = 0
+
+    def receive(self, head: Head) -> None:
+        """Handle a packet; note a reset of the system's own."""
+        if head.flags & RST and self.opened and not self.outcome:
+            sender = 'system' if head.own_reset else 'target'
+            self.outcome = f'reset-by-{sender}'
+            self.reset_at = self.client.world.record.note(
+                'client-gets-reset',
+                flow=flow_text(self.key),
+                by=sender,
+                pending=self.pending or '-',
+            )
+            self._event.set()
+            return
+        super().receive(head)
+
+    async def run(self, deadline_s: float = 2.5) -> Attempt:
+        """Open the flow, and send requests until the world ends them."""
+        world = self.client.world
+        self.client.attempts[self.key] = self
+        self.first_daemon = world.router.choose(self.key)
+        self.sent_at = world.record.note('client-opens', flow=flow_text(self.key))
+        for copy, wait in enumerate((0.2, 0.4, 0.8)):
+            self._send(SYN, ack=copy)
+            await self._wait(wait)
+            if self.opened or self.outcome:
+                break
+        if not self.opened:
+            self.outcome = self.outcome or 'not opened'
+            return self
+        self._seq = (self._seq + 1) % _MOD
+        self._send(ACK)
+        while not self.outcome:
+            await self._request_once(deadline_s)
+            await asyncio.sleep(random.uniform(0.1, 0.4))
+        return self
+
+    async def _request_once(self, deadline_s: float) -> None:
+        world = self.client.world
+        self.pending = self.name = f'{random.randrange(1 << 64):016x}'
+        self.answer = b''
+        request = (
+            'GET / HTTP/1.1\r\nHost: x\r\n'
+            f'Teaseldock-Attempt-Id: {self.name}\r\n\r\n'
+        ).encode()
+        world.record.note(
+            'client-sends', id=self.name, flow=flow_text(self.key)
+        )
+        until, wait = world.record.now() + deadline_s, 0.2
+        while not self.outcome and not self.answer.endswith(b'\n'):
+            self._send(ACK, request)
+            await self._wait(wait)
+            wait = min(1.6, 2 * wait)
+            if world.record.now() > until and not self.answer:
+                self.outcome = 'deadline'
+        world.record.note(
+            *('client-ends',),
+            id=self.name,
+            outcome=self.outcome or 'served',
+        )
+        if not self.outcome:
+            self.served += 1
+            self.pending = ''
+            self._seq = (self._seq + len(request)) % _MOD
+            self._send(ACK)
+
+
 class Client:
     """A client with one address."""
 
