--- a/review/standin.py
+++ b/review/standin.py
@@ -1109,6 +1109,9 @@
         shutil.rmtree(folder / 'logs', ignore_errors=True)
         (folder / 'logs').mkdir()
         world = World(folder, fronts=fronts, services=services)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
             broken = await asyncio.wait_for(scenario(world), 112)
             for line in broken:
@@ -1128,7 +1131,8 @@
 
     try:
         broken = asyncio.run(play())
-    except (OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # A fault of the script itself must not look like a broken rule.
         print(f'not run: {error!r}')
         sys.exit(NOT_RUN)
     for line in broken:
