--- a/bench/packet_caller.py
+++ b/bench/packet_caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+import zlib
 
 from bench import packet_codec
 
@@ -29,7 +30,8 @@
     :ivar tries: number of flows that the caller may still open.
     :ivar port: port of the route that its flows go to.
     :ivar opened: whether the current flow is open.
-    :ivar sequence: number of the last request on the current flow.
+    :ivar initial_sequence: sequence number of the current flow's opening.
+    :ivar sequence: sequence number of the last request on the current flow.
     :ivar server_sequence: initial sequence number of the server.
     :ivar resets: number of resets that the caller has received.
     """
@@ -52,6 +54,7 @@
         self.port = port
         self.flow = b''
         self.opened = False
+        self.initial_sequence = 0
         self.sequence = 0
         self.server_sequence = 0
         self.resets = 0
@@ -64,10 +67,16 @@
 
     def _open(self) -> None:
         self.tries -= 1
+        if self.flow:
+            self.world.release_port(self.flow)
         self.flow = self.world.new_flow(self)
         self.opened = False
         flow = self.flow
-        self._send(flow, opening=True)
+        # Sequence numbers of two flows from one port are far apart.
+        self.initial_sequence = self.sequence = zlib.crc32(
+            b'%r %r' % (flow, self.world.now)
+        )
+        self._send(flow, opening=True, sequence=self.initial_sequence)
         for number, delay in enumerate(OPENING_REPEATS_S, 1):
             self.world.after(
                 delay, lambda n=number: self._repeat_opening(flow, n)
@@ -81,7 +90,12 @@
 
     def _repeat_opening(self, flow: bytes, number: int) -> None:
         if flow == self.flow and not self.opened and not self.outcome:
-            self._send(flow, opening=True, acknowledged=number)
+            self._send(
+                flow,
+                opening=True,
+                sequence=self.initial_sequence,
+                acknowledged=number,
+            )
 
     def _time_out_opening(self, flow: bytes) -> None:
         if flow == self.flow and not self.opened:
@@ -98,13 +112,16 @@
     def _finish(self, outcome: str) -> None:
         self.outcome = outcome
         self.ended = self.world.now
+        if not self.feed:
+            self.world.release_port(self.flow)
 
     def ask(self) -> None:
         """Send a request over the open flow; repeat it until its outcome."""
         self.began = self.began if not self.outcome else self.world.now
         self.outcome = ''
-        self.sequence += 1
+        self.sequence = (self.sequence + 1) % packet_codec.MODULUS
         flow, sequence = self.flow, self.sequence
+        self.world.asked[flow, sequence] = self
         for delay in (0.0, *DATA_REPEATS_S):
             self.world.after(delay, lambda: self._send_data(flow, sequence))
 
@@ -132,7 +149,6 @@
         if item.accepting and not self.opened:
             self.opened = True
             self.server_sequence = item.sequence
-            self.sequence = 0
             self.ask()
         elif item.length and item.closing:
             self._retry()
--- a/bench/packet_codec.py
+++ b/bench/packet_codec.py
@@ -8,6 +8,8 @@
 
 from teaseldock.packets import packet
 
+#: Number of sequence numbers.
+MODULUS = 1 << 32
 _ENCODE = msgspec.msgpack.Encoder().encode
 _DECODE = msgspec.msgpack.Decoder(packet.Packet).decode
 
--- a/bench/packet_costs.py
+++ b/bench/packet_costs.py
@@ -191,7 +191,10 @@
         'bytes_a_hint': round(
             mean_kept_bytes(
                 lambda n: hint_table.add(
-                    n.to_bytes(12, 'big'), 'dispatch', hints.HintState.HINTED
+                    n.to_bytes(12, 'big'),
+                    'dispatch',
+                    hints.HintState.HINTED,
+                    now=0.0,
                 ),
                 FLOWS,
             )
--- a/bench/packet_server.py
+++ b/bench/packet_server.py
@@ -12,6 +12,10 @@
     from teaseldock.packets import packet
 
 
+#: Seconds for which a server repeats its last packet of a flow.
+GIVE_UP_S = 9.4
+
+
 class Server:
     """A backend server that accepts flows and runs requests in order.
 
@@ -23,7 +27,7 @@
     :ivar resets_unknown_flows: whether it resets flows that it does not hold;
         otherwise it returns their packets.
     :ivar flows: flows that it holds.
-    :ivar ended: flows that it has closed because they were idle.
+    :ivar ended: flows that it has closed because they were idle, with times.
     :ivar ran: time, flow and sequence of each request that it has started.
     :ivar opened: time and flow of each opening that it has received.
     """
@@ -60,13 +64,16 @@
         self.resets_unknown_flows = False
         self.draining = False
         self.flows: set[bytes] = set()
-        self.ended: set[bytes] = set()
+        self.ended: dict[bytes, float] = {}
         self.ran: list[tuple[float, bytes, int]] = []
         self.opened: list[tuple[float, bytes]] = []
         self._busy = 0
         self._queue: list[tuple[bytes, int]] = []
         self._next_sequences: dict[bytes, int] = {}
         self._initial_sequences: dict[bytes, int] = {}
+        self._caller_sequences: dict[bytes, int] = {}
+        # Flows of which the caller has acknowledged the acceptance.
+        self._opened_flows: set[bytes] = set()
 
     @property
     def identifier(self) -> str:
@@ -103,9 +110,24 @@
         self._queue.clear()
         self._busy = 0
 
+    def holds(self, flow: bytes, number: int) -> bool:
+        """Return whether it has a flow that it began at a sequence number."""
+        if not self.up or flow not in self.flows:
+            return False
+        ended_at = self.ended.get(flow, self.world.now)
+        if self.world.now - ended_at > GIVE_UP_S:
+            return False
+        return self._initial_sequences[flow] == number
+
+    def discard(self, flow: bytes) -> None:
+        """Forget an idle flow without a word."""
+        self.flows.discard(flow)
+
     def close_idle(self, flow: bytes) -> None:
         """Close an idle flow, before the caller has noticed."""
-        self.ended.add(flow)
+        if flow in self.ended:
+            return
+        self.ended[flow] = self.world.now
         self._send(flow, refused=True)
 
     def receive(self, item: packet.Packet, token: bytes) -> None:
@@ -117,8 +139,13 @@
             return
         if item.opening:
             self.opened.append((self.world.now, item.flow))
-            if item.flow not in self.flows:
+            known = self._caller_sequences.get(item.flow) == item.sequence
+            if item.flow not in self.flows or not known:
+                # The caller may use the port of a former flow again.
                 self.flows.add(item.flow)
+                self.ended.pop(item.flow, None)
+                self._opened_flows.discard(item.flow)
+                self._caller_sequences[item.flow] = item.sequence
                 start = self.world.random.randrange(1 << 32)
                 self._initial_sequences[item.flow] = self._next_sequences[
                     item.flow
@@ -142,11 +169,16 @@
         if item.resetting or item.closing:
             self.flows.discard(item.flow)
             return
-        if item.acknowledged != self._initial_sequences[item.flow]:
+        foreign = item.acknowledged != self._initial_sequences[item.flow]
+        if foreign and item.flow in self._opened_flows:
+            # A late packet of a former flow from the same port.
+            return
+        if foreign:
             # The caller accepted the opening answer of another server.
             self.flows.discard(item.flow)
             self._send(item.flow, resetting=True)
             return
+        self._opened_flows.add(item.flow)
         if item.length:
             self._accept_request(item.flow, item.sequence)
 
--- a/bench/packet_world.py
+++ b/bench/packet_world.py
@@ -52,6 +52,8 @@
     control.KIND_HANDED_ON,
 )
 SERVICE_HOST = bytes((198, 18, 0, 1))
+#: Seconds after which a caller uses a port again, the longest unused first.
+PORT_REST_S = 3.0
 
 
 class RecordingReporter(reporting.Reporter):
@@ -216,7 +218,12 @@
         self.resets: list[tuple[float, bytes, bool]] = []
         self.requests: list[packet_caller.Request] = []
         self._flows: dict[bytes, packet_caller.Request] = {}
-        self._ports = itertools.count(1024)
+        #: Requests by the flow and sequence number of their data.
+        self.asked: dict[tuple[bytes, int], packet_caller.Request] = {}
+        self._new_ports = itertools.count(1024)
+        self._free_ports: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self._events: list[tuple[float, int, typing.Callable]] = []
         self._order = itertools.count()
         self._probe_misses: dict[str, int] = {}
@@ -376,16 +383,17 @@
         The record tells whether the caller had opened the flow and a running
         server still held it.
         """
-        held = any(
-            flow in server.flows and server.up
+        request = self._flows.get(flow)
+        opened = request is not None and request.opened
+        held = opened and any(
+            server.holds(flow, request.server_sequence)
             for server in self.servers.values()
         )
-        opened = self._flows[flow].opened if flow in self._flows else False
-        self.resets.append((self.now, flow, held and opened))
+        self.resets.append((self.now, flow, held))
 
     def new_flow(self, request: packet_caller.Request) -> bytes:
         """Register a new flow of a request and return its key."""
-        port = next(self._ports)
+        port = self._take_port()
         flow = (
             bytes((100, 64, 0, port % 250))
             + SERVICE_HOST
@@ -395,6 +403,19 @@
         self._flows[flow] = request
         return flow
 
+    def _take_port(self) -> int:
+        if self._free_ports:
+            released_at, port = self._free_ports[0]
+            if self.now - released_at >= PORT_REST_S:
+                self._free_ports.popleft()
+                return port
+        return next(self._new_ports)
+
+    def release_port(self, flow: bytes) -> None:
+        """Let a later flow use a flow's port."""
+        port = int.from_bytes(flow[8:10], 'big')
+        self._free_ports.append((self.now, port))
+
     def request(
         self, *, feed: bool = False, tries: int = 3, port: int = 443
     ) -> packet_caller.Request:
--- a/packages/teaseldock/teaseldock/packets/admission.py
+++ b/packages/teaseldock/teaseldock/packets/admission.py
@@ -254,6 +254,9 @@
         """Handle a server's packet: an answer, or the end of a flow."""
         if item.resetting and self._tracker.has_pending_request(item.flow):
             self._note_failure(item.flow, 'server reset it', now)
+        if self._tracker.begins_flow(item):
+            # The former flow's request gets no answer any more.
+            self.drop(item.flow, now)
         taken_s = self._tracker.from_server(item, now)
         if taken_s is not None:
             self._meters.time('request', taken_s * 1000)
@@ -272,10 +275,10 @@
             error_s = started_at - expected.at - expected.start_s
             self._meters.time('wait_error', abs(error_s) * 1000)
 
-    def note_returned(self, flow: bytes, now: float) -> None:
-        """Record that the server doesn't hold a flow."""
-        self._tracker.note_returned(flow)
-        self.drop(flow, now)
+    def note_returned(self, item: packet.Packet, now: float) -> None:
+        """Record that the server doesn't hold the flow of a packet."""
+        if self._tracker.note_returned(item):
+            self.drop(item.flow, now)
 
     def drop(self, flow: bytes, now: float) -> None:
         """Drop the request of a flow that has ended."""
--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import typing
 
 from teaseldock import flow as flows
@@ -38,16 +37,6 @@
 _NO_TOKEN = bytes(4)
 
 
-class Reason(enum.IntEnum):
-    """Why an agent returned a packet to the balancer."""
-
-    NOT_HELD = 0
-    OTHER_SERVICE = 1
-    LEAVING = 2
-    EVACUATED = 3
-    COLD = 4
-
-
 class Agent(node.Node):
     """Forward packets between balancers, one backend server and callers."""
 
@@ -304,8 +293,10 @@
             self._relay.on_located(envelope, host)
         elif envelope.kind == control.KIND_RELAY:
             request = control.read_relay_request(envelope)
-            flow = self._io.read_packet(request.raw).flow
-            self._relay.begin(request, flow, host, now)
+            item = self._io.read_packet(request.raw)
+            self._relay.begin(
+                request, item.flow, host, now, acknowledged=item.acknowledged
+            )
         elif envelope.kind == control.KIND_AVAILABLE:
             self._hand_off.on_available(envelope, host, now)
         elif envelope.kind == control.KIND_HANDED_ON:
@@ -399,7 +390,10 @@
             # check a balancer with the old entry would send callers to the
             # wrong service, visible only in the log of the wrong server.
             self._return_packet(
-                envelope.body, envelope.tag, host, Reason.OTHER_SERVICE
+                envelope.body,
+                envelope.tag,
+                host,
+                control.ReturnReason.OTHER_SERVICE,
             )
             return
         item = self._io.read_packet(envelope.body)
@@ -418,8 +412,12 @@
             # Keep tracking the flow: without the server's initial sequence
             # number, the agent would forward the flow's next packet, and the
             # server would reset the flow.
-            self._log_returned_packet(item, host, Reason.NOT_HELD)
-            self._return_packet(item.raw, self._tag, host, Reason.NOT_HELD)
+            self._log_returned_packet(
+                item, host, control.ReturnReason.NOT_HELD
+            )
+            self._return_packet(
+                item.raw, self._tag, host, control.ReturnReason.NOT_HELD
+            )
             return
         if item.opening:
             self._warming.note_opening(now)
@@ -439,24 +437,24 @@
         not queued for a slot.
         """
         item = self._io.read_packet(envelope.body)
-        if not self._responder.on_probe(item, host):
+        if not self._responder.on_probe(item, host, now):
             return
         self._admission.note_unqueued(item, now)
         self._to_server(item, host)
 
-    def _refusal_reason(self, now: float) -> Reason | None:
+    def _refusal_reason(self, now: float) -> control.ReturnReason | None:
         """Return why new flows are refused, or None if they are accepted."""
         target = self._own_target
         if self._leaving or (target is not None and target.draining):
-            return Reason.LEAVING
+            return control.ReturnReason.LEAVING
         if self._is_evacuated():
-            return Reason.EVACUATED
+            return control.ReturnReason.EVACUATED
         if self._warming.openings_left(now) == 0:
-            return Reason.COLD
+            return control.ReturnReason.COLD
         return None
 
     def _log_returned_packet(
-        self, item: packet.Packet, host: str, reason: Reason
+        self, item: packet.Packet, host: str, reason: control.ReturnReason
     ) -> None:
         self._meters.counters[f'given_back_{reason.name.lower()}'] += 1
         self._reporter.note(
@@ -470,7 +468,7 @@
         )
 
     def _return_packet(
-        self, raw: bytes, tag: int, host: str, reason: Reason
+        self, raw: bytes, tag: int, host: str, reason: control.ReturnReason
     ) -> None:
         self._io.to_process(
             host, control.pack(control.KIND_RETURNED, reason, tag, raw)
@@ -486,7 +484,11 @@
             return
         self._meters.counters['packets_out'] += 1
         self._io.to_caller(item)
-        self._responder.answer_probe(item.flow, searching.LocateResult.HELD)
+        if not item.accepting:
+            # An acceptance repeats what the server said to another packet.
+            self._responder.answer_probe(
+                item.flow, searching.LocateResult.HELD, now
+            )
         address = flows.packed_service_endpoint(item.flow)
         address_known = address in self._tracker.addresses
         asked = self._tracker.asked
@@ -509,20 +511,26 @@
         self._admission.drop(item.flow, now)
         self._tracker.mark_not_held(item.flow, now)
         self._responder.answer_probe(
-            item.flow, searching.LocateResult.NOT_HELD
+            item.flow, searching.LocateResult.NOT_HELD, now
         )
 
     def _on_returned(self, item: packet.Packet, now: float) -> None:
-        self._admission.note_returned(item.flow, now)
+        self._admission.note_returned(item, now)
         if self._responder.answer_probe(
-            item.flow, searching.LocateResult.NOT_HELD
+            item.flow,
+            searching.LocateResult.NOT_HELD,
+            now,
+            acknowledged=item.acknowledged,
         ):
             return
         host = '.'.join(map(str, item.token))
         if item.token == _NO_TOKEN:
             self._meters.counters['dropped_returned'] += 1
             return
-        self._log_returned_packet(item, host, Reason.NOT_HELD)
+        self._log_returned_packet(item, host, control.ReturnReason.NOT_HELD)
         self._return_packet(
-            self._io.original(item), self._tag, host, Reason.NOT_HELD
+            self._io.original(item),
+            self._tag,
+            host,
+            control.ReturnReason.NOT_HELD,
         )
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -219,25 +219,44 @@
             self._open(item, route, now)
             return
         hint = self._hints.get(item.flow)
+        if hint is not None and hint.expired(now):
+            self._drop_hint(item.flow)
+            hint = None
         if hint is None and route is None:
             self._meters.counters['dropped_no_route'] += 1
             return
         if hint is None:
             service = self._service_of(route, item.flow)
             hint = self._hints.add(
-                item.flow, service, hints.HintState.SEARCHED
+                item.flow, service, hints.HintState.SEARCHED, now=now
             )
+        hint.seen_at = now
         if hint.state is hints.HintState.OPENING:
             # The flow is open; a copy of its opening that still waits must not
             # move it.
             self._load_queries.drop(item.flow)
-        if hint.state is hints.HintState.SEARCHED:
-            self._locator.search(item, hint, now)
-        elif hint.state is hints.HintState.LOST:
-            self._locator.reset(item)
+        if hint.state in (hints.HintState.SEARCHED, hints.HintState.LOST):
+            self._search(item, hint, now)
         else:
             self._forward(item, hint)
 
+    def _search(
+        self, item: packet.Packet, hint: hints.Hint, now: float
+    ) -> None:
+        """Search for the flow of a packet, or reset it if it is lost."""
+        if hint.is_lost(item, now):
+            self._meters.counters['lost_flows_reset'] += 1
+            self._locator.reset(item)
+            return
+        if hint.state is hints.HintState.LOST:
+            self._meters.counters['verdicts_expired'] += 1
+        self._locator.search(item, hint, now)
+
+    def _drop_hint(self, flow: bytes) -> None:
+        """Remove what is assumed of a flow, and its search."""
+        self._locator.drop(flow)
+        self._hints.drop(flow)
+
     def _service_of(self, route: records.Route, flow: bytes) -> str:
         """Return the service of a flow; it is the same at every balancer."""
         if len(route.choices) == 1:
@@ -268,6 +287,7 @@
                 return
         if hint is None or hint.state is not hints.HintState.OPENING:
             service = self._service_of(route, item.flow)
+            self._locator.drop(item.flow)
             hint = self._hints.add_opening(item, service, now)
         elif item.acknowledged and hint.host is not None:
             # A copy arrives when nothing has answered for 200 ms: the server
@@ -277,6 +297,7 @@
             hint.tried.append(hint.host)
             self._targets.suspect(hint.host, now)
             self._query_load(hint.host, now)
+        hint.seen_at = now
         if item.acknowledged:
             hint.overflow_forbidden = True
         self._place(item, hint, now)
@@ -515,7 +536,7 @@
         self._meters.counters['refused'] += 1
         hint = self._hints.get(item.flow)
         denied = len(hint.denied) if hint else 0
-        self._hints.drop(item.flow)
+        self._drop_hint(item.flow)
         self._load_queries.drop(item.flow)
         self._reporter.note(
             'refused',
@@ -562,6 +583,12 @@
         if hint is None:
             self._meters.counters['dropped_returned'] += 1
             return
+        if item.opening:
+            self._on_returned_opening(item, hint, host, now)
+            return
+        if envelope.detail != control.ReturnReason.OTHER_SERVICE:
+            # An agent of another service has not looked for the flow.
+            hint.note_denial(item, host, now)
         self._on_returned(item, hint, host, now)
 
     def _on_moved(self, envelope: control.Envelope, host: str) -> None:
@@ -582,23 +609,28 @@
         self._meters.counters['moves_followed'] += 1
         hint.host = host
 
-    def _on_returned(
+    def _on_returned_opening(
         self, item: packet.Packet, hint: hints.Hint, host: str, now: float
     ) -> None:
-        """Search for a flow that its target does not hold."""
-        if hint.state is hints.HintState.LOST:
-            self._locator.reset(item)
+        """Place a new flow elsewhere that its target has refused."""
+        opens = hint.state is hints.HintState.OPENING
+        if not opens or hint.precedes(item, now):
+            # The flow has opened since, or the port opens another one.
+            self._meters.counters['dropped_returned'] += 1
             return
         hint.denied.add(host)
-        moved = hint.host is not None and hint.host != host
-        if item.opening:
+        if hint.host is not None and hint.host != host:
             # Another copy may be on its way to the target chosen since.
-            if not moved:
-                if not hint.overflow_forbidden:
-                    self._undo_overflow(item, hint)
-                self._place(item, hint, now)
             return
-        if moved:
+        if not hint.overflow_forbidden:
+            self._undo_overflow(item, hint)
+        self._place(item, hint, now)
+
+    def _on_returned(
+        self, item: packet.Packet, hint: hints.Hint, host: str, now: float
+    ) -> None:
+        """Search for a flow that its target does not hold."""
+        if hint.host is not None and hint.host != host:
             self._forward(item, hint)
             return
-        self._locator.search(item, hint, now)
+        self._search(item, hint, now)
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -233,13 +233,22 @@
             _expected_wait(peer, target, now, warming=warming),
         )
 
-    def holders(self, flow: bytes, hint: hints.Hint, now: float) -> list[str]:
+    def holders(
+        self,
+        flow: bytes,
+        hint: hints.Hint,
+        now: float,
+        *,
+        denied: typing.Container[str] = (),
+    ) -> list[str]:
         """Return the hosts that may hold a flow, the most likely first.
 
         The targets of the services that its route names come first. Then come
         other agents that may hold the flow (see
         :mod:`teaseldock.packets.holdings`) and silent ones, which may be
         restarting while their server is alive.
+
+        :param denied: hosts that don't hold it.
         """
         address = flows.packed_service_endpoint(flow)
         services = [hint.service, *self._knowledge.services_of(address)]
@@ -258,7 +267,7 @@
         hosts.update(
             dict.fromkeys(self._other_holders(address, set(services), now))
         )
-        return [host for host in hosts if host not in hint.denied]
+        return [host for host in hosts if host not in denied]
 
     def _other_holders(
         self, address: bytes, services: set[str], now: float
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -35,9 +35,13 @@
 KIND_HEARTBEAT = 3
 #: A fragment of store changes.
 KIND_CHANGES = 4
-#: Asks whether a backend server holds a flow; the body is the flow's key.
+#: Asks whether a backend server holds a flow; the body is the flow's key. With
+#: detail NUMBERED the tag is the number that the caller acknowledges, which
+#: tells the flow from others behind the same key.
 KIND_LOCATE = 5
-#: Answers KIND_LOCATE with the flow's key; the detail is a LocateResult.
+NUMBERED = 1
+#: Answers KIND_LOCATE with the flow's key; the detail is a LocateResult. The
+#: answer to a numbered query ends with its number.
 KIND_LOCATED = 6
 #: Like KIND_LOCATE, but with a packet of the flow. It is for an agent that has
 #: run too briefly to know; the agent gives the packet to its server.
@@ -46,7 +50,9 @@
 #: the body is their hosts, then the packet.
 KIND_RELAY = 8
 #: Reports the result of KIND_RELAY: the flow's key and the hosts that the
-#: result applies to; the detail is a LocateResult.
+#: result applies to; the detail is a LocateResult. The tag is that of the
+#: service if the flow is held; else the number that the caller acknowledges, 0
+#: if it isn't told.
 KIND_RELAYED = 9
 #: Asks an agent for the load of its server. KIND_LOAD answers detail
 #: SHORT_REPORT, a heartbeat any other; agents of earlier versions answer every
@@ -80,8 +86,9 @@
 FRAGMENT_BYTES = 1200
 #: Index and count of a fragment, and the number of its transfer.
 _FRAGMENT = struct.Struct('>HHI')
-#: A revision of the store.
+#: A revision of the store, and a sequence number of a flow.
 _REVISION = struct.Struct('>Q')
+_NUMBER = struct.Struct('>I')
 #: A short report: running, queued, slots, flows, mean requests in tenths,
 #: expected wait and service time in milliseconds, failing percentage, flags.
 _LOAD_REPORT = struct.Struct('>HHBHHHHBB')
@@ -103,6 +110,16 @@
 _Age = typing.Annotated[int, msgspec.Meta(ge=-1, le=1 << 40)]
 
 
+class ReturnReason(enum.IntEnum):
+    """Why an agent returned a packet to the balancer."""
+
+    NOT_HELD = 0
+    OTHER_SERVICE = 1
+    LEAVING = 2
+    EVACUATED = 3
+    COLD = 4
+
+
 class MovedResult(enum.IntEnum):
     """What an agent did with an opening that was handed to it."""
 
@@ -216,10 +233,13 @@
     :ivar flow: the flow's key.
     :ivar layout_revision: revision of the newest change to the possible
         locations of flows that the agent holds, see :class:`Heartbeat`.
+    :ivar acknowledged: number in the query that it answers, None if there was
+        none.
     """
 
     flow: bytes
     layout_revision: int
+    acknowledged: int | None = None
 
 
 class RelayResult(typing.NamedTuple):
@@ -283,12 +303,27 @@
     return RelayRequest(read_hosts(body[1:end]), body[end:])
 
 
+def pack_locate(flow: bytes, acknowledged: int) -> bytes:
+    """Encode the query whether a server holds a flow, as a datagram.
+
+    :param acknowledged: number that the caller's packets acknowledge.
+    """
+    return pack(KIND_LOCATE, NUMBERED, acknowledged, flow)
+
+
+def read_locate_number(query: Envelope) -> int | None:
+    """Return the number that the caller acknowledges, None if not told."""
+    return query.tag if query.detail == NUMBERED else None
+
+
 def pack_located(holding: int, tag: int, answer: Located) -> bytes:
     """Encode an agent's answer as a datagram.
 
     :param tag: tag of the service of the agent that answers.
     """
     body = answer.flow + _REVISION.pack(answer.layout_revision)
+    if answer.acknowledged is not None:
+        body += _NUMBER.pack(answer.acknowledged)
     return pack(KIND_LOCATED, holding, tag, body)
 
 
@@ -297,13 +332,24 @@
 
     :raises MessageError: if the bytes are malformed.
     """
-    if len(body) != _FLOW_BYTES + _REVISION.size:
+    end = _FLOW_BYTES + _REVISION.size
+    number = body[end:]
+    if len(body) < end or len(number) not in (0, _NUMBER.size):
         raise exceptions.MessageError(
             'located',
-            f'{len(body)} bytes are not a flow key and a revision',
+            f'{len(body)} bytes are not a flow key, a revision and a number',
             remedy='run one version on all processes; the message was dropped',
         )
-    return Located(body[:_FLOW_BYTES], read_revision(body[_FLOW_BYTES:]))
+    return Located(
+        body[:_FLOW_BYTES],
+        read_revision(body[_FLOW_BYTES:end]),
+        _NUMBER.unpack(number)[0] if number else None,
+    )
+
+
+def relayed_number(result: Envelope) -> int | None:
+    """Return the number in a result that a flow isn't held, None if none."""
+    return result.tag or None
 
 
 def pack_relay_result(holding: int, tag: int, result: RelayResult) -> bytes:
--- a/packages/teaseldock/teaseldock/packets/handing_on.py
+++ b/packages/teaseldock/teaseldock/packets/handing_on.py
@@ -96,17 +96,22 @@
     """What this agent did with the first copy of an opening.
 
     :ivar at: time of the decision.
+    :ivar sequence: sequence number of the opening; another flow from the same
+        port has another one.
     :ivar host: agent that the opening was handed to; None if it was kept
         here, or if that agent has returned it to the balancer.
     :ivar hand_offs: number of hand-offs, including this one.
     :ivar copies: number of later copies that have followed it.
     """
 
-    __slots__ = ('at', 'host', 'hand_offs', 'copies')
+    __slots__ = ('at', 'sequence', 'host', 'hand_offs', 'copies')
 
-    def __init__(self, at: float, host: str | None, hand_offs: int) -> None:
+    def __init__(
+        self, at: float, sequence: int, host: str | None, hand_offs: int
+    ) -> None:
         """Record a decision that no copy has followed."""
         self.at = at
+        self.sequence = sequence
         self.host = host
         self.hand_offs = hand_offs
         self.copies = 0
@@ -253,12 +258,12 @@
             del self._decisions[oldest]
         return self._decisions.get(flow)
 
-    def note_kept(self, flow: bytes, now: float) -> None:
+    def note_kept(self, item: packet.Packet, now: float) -> None:
         """Record that an opening goes to this agent's server."""
-        self._note(flow, Decision(now, None, 0))
+        self._note(item.flow, Decision(now, item.sequence, None, 0))
 
     def note_handed_on(
-        self, flow: bytes, host: str, hand_offs: int, now: float
+        self, item: packet.Packet, host: str, hand_offs: int, now: float
     ) -> None:
         """Record that an opening was handed to another agent.
 
@@ -266,7 +271,7 @@
         """
         self._notices.note_used(host)
         self._receipts_missing.setdefault(host, now)
-        self._note(flow, Decision(now, host, hand_offs))
+        self._note(item.flow, Decision(now, item.sequence, host, hand_offs))
 
     def _note(self, flow: bytes, decision: Decision) -> None:
         self._decisions[flow] = decision
@@ -451,6 +456,9 @@
         """
         refuses = self._refuses(now)
         earlier = self._policy.decision(item.flow, now)
+        if earlier is not None and earlier.sequence != item.sequence:
+            # The caller opens another flow from the same port.
+            earlier = None
         if earlier is not None and earlier.host is not None:
             # The decision stands while a later copy is kept here: the other
             # server may still have accepted the first one.
@@ -462,7 +470,7 @@
             if self._hand_on(item, balancer, sender, hand_offs, now):
                 return True
         if not refuses:
-            self._policy.note_kept(item.flow, now)
+            self._policy.note_kept(item, now)
         return False
 
     def _hand_on(
@@ -498,7 +506,7 @@
         if choice is None:
             return False
         hand_offs += 1
-        self._policy.note_handed_on(item.flow, choice.host, hand_offs, now)
+        self._policy.note_handed_on(item, choice.host, hand_offs, now)
         self._tracker.mark_not_held(item.flow, now)
         self._meters.counters['handed_on'] += 1
         self._reporter.note(
--- a/packages/teaseldock/teaseldock/packets/hints.py
+++ b/packages/teaseldock/teaseldock/packets/hints.py
@@ -7,6 +7,7 @@
 import typing
 
 from teaseldock.packets import control
+from teaseldock.packets import flow_numbers
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import packet
@@ -16,6 +17,12 @@
 #: that of a new flow: callers give up an opening after 1.4 s, and a copy may
 #: wait while a process is paused.
 OPENING_TTL_S = 10.0
+#: Seconds without a packet after which the location of a flow is unknown
+#: again: other balancers may have opened further flows from its port since.
+IDLE_HINT_TTL_S = 15.0
+#: Seconds for which hosts' denials of one flow, and the verdict that it is
+#: lost, are used without a new search; callers give up after 12 s.
+DENIAL_TTL_S = 15.0
 #: Maximum number of hints that a balancer stores; about 500 bytes each.
 MAX_HINTS = 40_000
 
@@ -29,6 +36,26 @@
     LOST = 'lost'
 
 
+class Denials:
+    """Hosts that don't hold the flow of certain packets.
+
+    They say nothing about another flow from the same port, which a host may
+    hold although it denied the former one.
+    """
+
+    def __init__(self, item: packet.Packet, now: float) -> None:
+        """Create an empty set of denials for the flow of a packet."""
+        self._numbers = flow_numbers.of_packet(item)
+        self._began = now
+        self.hosts: set[str] = set()
+
+    def cover(self, item: packet.Packet, now: float) -> bool:
+        """Return whether they hold for the flow of a packet."""
+        if now - self._began >= DENIAL_TTL_S:
+            return False
+        return self._numbers.include(item)
+
+
 class Hint:
     """Where a balancer sends the packets of one flow.
 
@@ -38,9 +65,11 @@
     :ivar state: assumed state of the flow.
     :ivar host: instance that its packets go to, or None.
     :ivar tried: hosts that an opening was sent to without an answer so far.
-    :ivar denied: hosts whose server or agent answered that it does not hold
-        the flow.
+    :ivar denied: hosts whose server or agent has returned the opening. One of
+        them may have accepted another copy, so this proves nothing about an
+        open flow.
     :ivar search: the search in progress, or None.
+    :ivar seen_at: time of the newest packet, seconds.
     :ivar overflowed: whether it went to another service than its route's
         weights chose, see :mod:`teaseldock.packets.overflow`.
     :ivar overflow_forbidden: whether it must stay at its service: a server may
@@ -58,6 +87,8 @@
         'tried',
         'denied',
         'search',
+        'seen_at',
+        '_denials',
         'overflowed',
         'overflow_forbidden',
         'opening_sequence',
@@ -73,6 +104,8 @@
         self.tried: list[str] = []
         self.denied: set[str] = set()
         self.search: searching.Search | None = None
+        self.seen_at = 0.0
+        self._denials: Denials | None = None
         self.overflowed = False
         self.overflow_forbidden = False
         self.opening_sequence = 0
@@ -89,6 +122,38 @@
             return False
         return self.host is None or self.host in self.denied
 
+    def expired(self, now: float) -> bool:
+        """Return whether too much time has passed to rely on the hint."""
+        return now - self.seen_at >= IDLE_HINT_TTL_S
+
+    def note_denial(self, item: packet.Packet, host: str, now: float) -> None:
+        """Record that a host doesn't hold the flow of a packet."""
+        if self._denials is None or not self._denials.cover(item, now):
+            self._denials = Denials(item, now)
+        self._denials.hosts.add(host)
+
+    def denials(self, item: packet.Packet, now: float) -> set[str]:
+        """Return the hosts that don't hold the flow of a packet."""
+        if self._denials is None or not self._denials.cover(item, now):
+            return set()
+        return self._denials.hosts
+
+    def declare_lost(self, item: packet.Packet, now: float) -> None:
+        """Record that no host holds the flow of a packet."""
+        self.state = HintState.LOST
+        self._denials = Denials(item, now)
+
+    def is_lost(self, item: packet.Packet, now: float) -> bool:
+        """Return whether no host holds the flow of a packet.
+
+        Another balancer may have opened a new flow from the same port since.
+        """
+        return (
+            self.state is HintState.LOST
+            and self._denials is not None
+            and self._denials.cover(item, now)
+        )
+
     def precedes(self, opening: packet.Packet, now: float) -> bool:
         """Return whether an opening begins another flow than this one.
 
@@ -139,9 +204,17 @@
         """Return the hint of a flow, or None."""
         return self._hints.get(flow)
 
-    def add(self, flow: bytes, service: str, state: HintState) -> Hint:
+    def add(
+        self,
+        flow: bytes,
+        service: str,
+        state: HintState,
+        *,
+        now: float,
+    ) -> Hint:
         """Replace the hint of a flow by a new one and return it."""
         hint = Hint(service, state)
+        hint.seen_at = now
         self._hints[flow] = hint
         self._hints.move_to_end(flow)
         if len(self._hints) > MAX_HINTS:
@@ -152,7 +225,7 @@
         self, item: packet.Packet, service: str, now: float
     ) -> Hint:
         """Replace the hint of a flow by one for its first opening packet."""
-        hint = self.add(item.flow, service, HintState.OPENING)
+        hint = self.add(item.flow, service, HintState.OPENING, now=now)
         hint.opening_sequence = item.sequence
         hint.opened_at = now
         return hint
--- a/packages/teaseldock/teaseldock/packets/locating.py
+++ b/packages/teaseldock/teaseldock/packets/locating.py
@@ -59,14 +59,31 @@
         """Hold a packet, and query agents for the holder of its flow."""
         hint.state = hints.HintState.SEARCHED
         hint.host = None
-        if hint.search is None or hint.search.stale(now):
+        search = hint.search
+        if search is not None and not search.covers(item):
+            self._meters.counters['ports_reused'] += 1
+            search = None
+        if search is None or search.stale(now):
             self._meters.counters['searches'] += 1
-            hosts = self._targets.holders(item.flow, hint, now)
-            hint.search = searching.Search(hosts, now)
+            hint.search = searching.Search(self._holders(item, hint, now), now)
             self._active_searches[item.flow] = hint
         hint.search.add_packet(item)
         self._query(item.flow, hint, now)
 
+    def _holders(
+        self, item: packet.Packet, hint: hints.Hint, now: float
+    ) -> list[str]:
+        """Return the hosts that may hold the flow of a packet."""
+        denied = hint.denials(item, now)
+        return self._targets.holders(item.flow, hint, now, denied=denied)
+
+    def drop(self, flow: bytes) -> None:
+        """End the search for a flow whose port opens a new one.
+
+        Its verdict would reset the new flow.
+        """
+        self._active_searches.pop(flow, None)
+
     def tick(self, now: float) -> None:
         """Retry queries without an answer, and drop expired searches."""
         for flow, hint in list(self._active_searches.items()):
@@ -87,12 +104,14 @@
             return
         for host in search.hosts_to_query():
             search.asked(host)
-            self._send(host, control.pack(control.KIND_LOCATE, 0, 0, flow))
+            self._send(
+                host, control.pack_locate(flow, search.probe.acknowledged)
+            )
         if not search.hosts_for_relays(now):
             return
         if search.relay_rounds:
             # The entries of hosts without an answer may have been removed.
-            search.set_hosts(self._targets.holders(flow, hint, now))
+            search.set_hosts(self._holders(search.probe, hint, now))
         self._query_relays(flow, search, now)
 
     def _query_relays(
@@ -126,9 +145,9 @@
         self, answer: control.Envelope, hint: hints.Hint, host: str, now: float
     ) -> None:
         """Handle an agent's answer."""
-        flow, layout_revision = control.read_located(answer.body)
+        flow, layout_revision, acknowledged = control.read_located(answer.body)
         search = hint.search
-        if search is None:
+        if search is None or not search.is_answered_by(acknowledged):
             return
         if answer.detail == searching.LocateResult.HELD:
             self._on_found(flow, hint, host, answer.tag, now)
@@ -153,6 +172,8 @@
         if answer.detail == searching.LocateResult.HELD:
             self._on_found(result.flow, hint, result.hosts[0], answer.tag, now)
             return
+        if not search.is_answered_by(control.relayed_number(answer)):
+            return
         for host in result.hosts:
             search.note_denial(host, result.layout_revision)
         self._query(result.flow, hint, now)
@@ -166,13 +187,14 @@
         now: float,
     ) -> None:
         search = hint.search
-        if host in hint.denied:
+        if host in hint.denials(search.probe, now):
             # The server has returned a packet of the flow since its answer.
             self._meters.counters['found_late'] += 1
             return
         hint.host = host
         hint.tag = tag
-        self._end(flow, hint, hints.HintState.HINTED)
+        hint.state = hints.HintState.HINTED
+        self._end(flow, hint)
         took_ms = (now - search.began) * 1000
         self._meters.time('search_found', took_ms)
         self._reporter.note(
@@ -203,7 +225,7 @@
             self._meters.counters['verdicts_delayed'] += 1
             self._request_changes(now)
             return
-        search.set_hosts(self._targets.holders(flow, hint, now))
+        search.set_hosts(self._holders(search.probe, hint, now))
         if search.all_denied:
             self._declare_lost(flow, hint, search, now)
 
@@ -214,8 +236,15 @@
         search: searching.Search,
         now: float,
     ) -> None:
-        """Reset a flow that no server holds, so that its caller reconnects."""
-        self._end(flow, hint, hints.HintState.LOST)
+        """Reset a flow that no server holds, so that its caller reconnects.
+
+        A caller that no longer repeats its data has given the flow up, and may
+        have opened another one from its port, which the reset could end.
+        """
+        item = search.take_packets()[-1]
+        denied_before = len(hint.denials(item, now))
+        self._end(flow, hint)
+        hint.declare_lost(item, now)
         self._meters.counters['flows_lost'] += 1
         took_ms = (now - search.began) * 1000
         self._meters.time('search_lost', took_ms)
@@ -224,16 +253,13 @@
             flow=reporting.flow_text(flow),
             took_ms=round(took_ms),
             asked=len(search.denied),
-            denied_before=len(hint.denied),
+            denied_before=denied_before,
             **self._log_fields(),
         )
-        for item in search.take_packets()[-1:]:
+        if now - hint.seen_at <= searching.CALLER_REPEAT_S:
             self.reset(item)
 
-    def _end(
-        self, flow: bytes, hint: hints.Hint, state: hints.HintState
-    ) -> None:
-        hint.state = state
+    def _end(self, flow: bytes, hint: hints.Hint) -> None:
         hint.search = None
         self._active_searches.pop(flow, None)
 
--- a/packages/teaseldock/teaseldock/packets/relaying.py
+++ b/packages/teaseldock/teaseldock/packets/relaying.py
@@ -36,8 +36,14 @@
     """One search that a balancer has delegated to this agent."""
 
     def __init__(
-        self, request: control.RelayRequest, requester: str, now: float
+        self,
+        request: control.RelayRequest,
+        requester: str,
+        now: float,
+        *,
+        acknowledged: int,
     ) -> None:
+        self.acknowledged = acknowledged
         self.requester = requester
         self.raw = request.raw
         self.hosts = request.hosts
@@ -78,29 +84,38 @@
         flow: bytes,
         requester: str,
         now: float,
+        *,
+        acknowledged: int,
     ) -> None:
-        """Query the hosts of a search; the result goes to the requester."""
+        """Query the hosts of a search; the result goes to the requester.
+
+        :param acknowledged: number that the caller's packets acknowledge.
+        """
         self._meters.counters['errands'] += 1
-        self._searches[flow] = _RelayedSearch(request, requester, now)
+        self._searches[flow] = _RelayedSearch(
+            request, requester, now, acknowledged=acknowledged
+        )
         self._searches.move_to_end(flow)
         if len(self._searches) > MAX_SEARCHES:
             self._searches.popitem(last=False)
         for host in request.hosts:
-            self._query(host, control.KIND_LOCATE, flow)
+            self._query(host, control.pack_locate(flow, acknowledged))
 
-    def _query(self, host: str, kind: int, body: bytes) -> None:
+    def _query(self, host: str, datagram: bytes) -> None:
         self._meters.counters['asked'] += 1
-        self._send(host, control.pack(kind, 0, 0, body))
+        self._send(host, datagram)
 
     def on_located(self, answer: control.Envelope, host: str) -> None:
         """Handle another agent's answer."""
-        flow, layout_revision = control.read_located(answer.body)
+        flow, layout_revision, acknowledged = control.read_located(answer.body)
         search = self._searches.get(flow)
-        if search is None:
+        if search is None or acknowledged not in (None, search.acknowledged):
             return
         search.layout_revision = max(search.layout_revision, layout_revision)
         if answer.detail == searching.LocateResult.UNSURE:
-            self._query(host, control.KIND_PROBE, search.raw)
+            self._query(
+                host, control.pack(control.KIND_PROBE, 0, 0, search.raw)
+            )
             return
         if answer.detail == searching.LocateResult.HELD:
             del self._searches[flow]
@@ -128,7 +143,11 @@
         search.reported.update(new_denials)
         if new_denials:
             self._report(
-                search, flow, searching.LocateResult.NOT_HELD, new_denials
+                search,
+                flow,
+                searching.LocateResult.NOT_HELD,
+                new_denials,
+                tag=search.acknowledged,
             )
 
     def _report(
@@ -138,7 +157,7 @@
         result: searching.LocateResult,
         hosts: list[str],
         *,
-        tag: int = 0,
+        tag: int,
     ) -> None:
         relay_result = control.RelayResult(flow, search.layout_revision, hosts)
         self._send(
@@ -160,4 +179,6 @@
             search.asked_at = now
             search.attempts += 1
             for host in search.pending_hosts:
-                self._query(host, control.KIND_LOCATE, flow)
+                self._query(
+                    host, control.pack_locate(flow, search.acknowledged)
+                )
--- a/packages/teaseldock/teaseldock/packets/searching.py
+++ b/packages/teaseldock/teaseldock/packets/searching.py
@@ -16,6 +16,8 @@
 import enum
 import typing
 
+from teaseldock.packets import flow_numbers
+
 #: Packets held for a flow during its search; a caller has at most 16 in
 #: flight.
 MAX_PACKETS = 16
@@ -36,6 +38,8 @@
 #: Seconds after which a search expires; a caller retransmits its data within
 #: 1.6 s.
 SEARCH_TTL_S = 5.0
+#: Maximum seconds between two copies of a caller's data, and some for its way.
+CALLER_REPEAT_S = 2.0
 
 
 class LocateResult(enum.IntEnum):
@@ -63,6 +67,7 @@
         self._relayed_at: float | None = None
         self._relay_rounds = 0
         self._packets: list[typing.Any] = []
+        self._numbers: flow_numbers.FlowNumbers | None = None
         self._layout_revision = 0
 
     @property
@@ -105,12 +110,32 @@
 
     def add_packet(self, item: typing.Any) -> None:
         """Hold a packet until the search ends; evict the oldest if full."""
+        if self._numbers is None:
+            self._numbers = flow_numbers.of_packet(item)
         if any(item.raw == kept.raw for kept in self._packets):
             return
         if len(self._packets) >= MAX_PACKETS:
             self._packets.pop(0)
         self._packets.append(item)
 
+    def covers(self, item: typing.Any) -> bool:
+        """Return whether a packet may be of the flow that is searched for.
+
+        It isn't if the caller has opened another flow from the same port since
+        the search began: a host that denied the former flow may hold it.
+        """
+        return self._numbers is None or self._numbers.include(item)
+
+    def is_answered_by(self, acknowledged: int | None) -> bool:
+        """Return whether an answer is about the flow that is searched for.
+
+        :param acknowledged: number in the query that it answers; None if the
+            answer doesn't tell it.
+        """
+        if acknowledged is None or self._numbers is None:
+            return True
+        return flow_numbers.are_near(acknowledged, self._numbers.acknowledged)
+
     def take_packets(self) -> list[typing.Any]:
         """Remove and return the held packets."""
         packets, self._packets = self._packets, []
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -8,6 +8,7 @@
 
 from teaseldock import flow as flows
 from teaseldock import load
+from teaseldock.packets import flow_numbers
 
 if typing.TYPE_CHECKING:
     from teaseldock.packets import packet
@@ -39,13 +40,13 @@
 #: Seconds after the first opening at which the caller sent each copy, indexed
 #: by the copy number that the opening carries.
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
-#: Maximum number of bytes that a server sends over one flow: one minute of
-#: answers. The initial sequence numbers of two servers that accept the same
-#: opening differ by more, except for one pair in 256.
+#: Bytes after a server's initial sequence number that may be acknowledged
+#: although this process has not seen them. The initial sequence numbers of two
+#: servers that accept the same opening differ by more, except for one pair in
+#: 256.
 MAX_FLOW_BYTES = 1 << 24
-#: Half the number of 32-bit sequence numbers, and the number of them.
-_HALF_MODULUS = 1 << 31
-_MODULUS = 1 << 32
+_HALF_MODULUS = flow_numbers.HALF_MODULUS
+_MODULUS = flow_numbers.MODULUS
 
 
 class _Flow:
@@ -76,6 +77,43 @@
         self.sent: int | None = None
         self.seen_at = now
 
+    @property
+    def server_data(self) -> _Sent:
+        return _Sent(self.start, self.sent)
+
+
+class _Sent(typing.NamedTuple):
+    """What a server has sent over one flow.
+
+    :ivar start: its initial sequence number, None if not seen.
+    :ivar end: sequence number after its last byte, None if none was seen.
+    """
+
+    start: int | None
+    end: int | None
+
+    def acknowledged_by(self, number: int) -> bool:
+        """Return whether a caller of this flow may acknowledge a number."""
+        start, end = self
+        if start is None and end is None:
+            return True
+        if start is None:
+            start = end - MAX_FLOW_BYTES
+        if end is None:
+            end = start
+        seen = (end - start) % _MODULUS + flow_numbers.MAX_DISTANCE_BYTES
+        return (number - start) % _MODULUS < max(MAX_FLOW_BYTES, seen)
+
+
+class _EndedFlow(typing.NamedTuple):
+    """A flow that the server has ended.
+
+    :ivar at: time of its end, seconds.
+    """
+
+    at: float
+    server_data: _Sent
+
 
 class _Opening(typing.NamedTuple):
     """An opening that the server has not answered.
@@ -106,7 +144,7 @@
         self._flows: collections.OrderedDict[bytes, _Flow] = (
             collections.OrderedDict()
         )
-        self._ended: collections.OrderedDict[bytes, float] = (
+        self._ended: collections.OrderedDict[bytes, _EndedFlow] = (
             collections.OrderedDict()
         )
         self._not_held: collections.OrderedDict[bytes, float] = (
@@ -221,10 +259,18 @@
         """
         if item.flow in self._not_held:
             return False
-        tracked = self._flows.get(item.flow)
-        if tracked is None or tracked.start is None or item.resetting:
-            return True
-        return (item.acknowledged - tracked.start) % _MODULUS < MAX_FLOW_BYTES
+        return item.resetting or self.may_include(item.flow, item.acknowledged)
+
+    def may_include(self, flow: bytes, acknowledged: int) -> bool:
+        """Return whether the server may have sent what a caller acknowledges.
+
+        If not, the caller's packet is of another flow from the same port, held
+        elsewhere: of its last flow here the server would reset it.
+
+        :param acknowledged: sequence number in the caller's packet.
+        """
+        last = self._flows.get(flow) or self._ended.get(flow)
+        return last is None or last.server_data.acknowledged_by(acknowledged)
 
     def responsive(self, now: float) -> bool:
         """Return whether the server answers openings."""
@@ -245,7 +291,8 @@
                 self._unanswered_openings.popitem(last=False)
             return None
         if item.resetting:
-            self.stop_tracking(item.flow)
+            if self.may_include(item.flow, item.acknowledged):
+                self.stop_tracking(item.flow)
             return None
         tracked = self._flows.get(item.flow)
         if tracked is None:
@@ -291,6 +338,21 @@
             self.stop_tracking(next(iter(self._flows)))
         return tracked
 
+    def begins_flow(self, item: packet.Packet) -> bool:
+        """Return whether a server's packet accepts another flow.
+
+        Its caller uses the port of the tracked flow again, whose numbers would
+        make the new flow's requests look like retransmissions.
+        """
+        tracked = self._flows.get(item.flow)
+        if tracked is None or not item.accepting:
+            return False
+        if tracked.start is not None:
+            return tracked.start != item.sequence
+        if tracked.sent is not None:
+            return (tracked.sent - item.sequence) % _MODULUS >= MAX_FLOW_BYTES
+        return item.flow in self._unanswered_openings
+
     def from_server(self, item: packet.Packet, now: float) -> float | None:
         """Record a server's packet; return a request's duration in seconds.
 
@@ -299,6 +361,8 @@
 
         :returns: None if the packet does not start an answer.
         """
+        if self.begins_flow(item):
+            self.stop_tracking(item.flow)
         opening = self._unanswered_openings.get(item.flow)
         self._unanswered_openings.clear()
         tracked = self._flows.get(item.flow)
@@ -308,14 +372,6 @@
         if item.accepting:
             self._ended.pop(item.flow, None)
             self._not_held.pop(item.flow, None)
-            if tracked is not None and tracked.start not in (
-                None,
-                item.sequence,
-            ):
-                # The caller uses the port of a former flow again, whose
-                # numbers would make its requests look like retransmissions.
-                self.stop_tracking(item.flow)
-                tracked = None
         elif item.flow in self._ended:
             return None
         if tracked is None:
@@ -330,15 +386,26 @@
         taken_s = None
         if item.length and self._is_new(item, tracked.sent):
             tracked.sent = (item.sequence + item.length) % _MODULUS
+            self._limit_span(tracked)
             taken_s = self._finish_request(tracked, now)
         if item.closing:
             self._mark_ended(item.flow, now)
         return taken_s
 
+    @staticmethod
+    def _limit_span(tracked: _Flow) -> None:
+        """Forget the initial number before the numbers begin anew."""
+        if tracked.start is None or tracked.sent is None:
+            return
+        if (tracked.sent - tracked.start) % _MODULUS >= _HALF_MODULUS:
+            tracked.start = None
+
     def _mark_ended(self, flow: bytes, now: float) -> None:
         """Record that the server has ended a flow."""
+        last = self._flows.get(flow) or self._ended.get(flow)
+        server_data = last.server_data if last else _Sent(None, None)
         self.stop_tracking(flow)
-        self._ended[flow] = now
+        self._ended[flow] = _EndedFlow(now, server_data)
         if len(self._ended) > MAX_FLOWS:
             self._ended.popitem(last=False)
 
@@ -351,11 +418,19 @@
         self._pending_requests -= 1
         return taken_s
 
-    def note_returned(self, flow: bytes) -> None:
-        """Drop a flow whose packet the server has returned."""
-        self._unanswered_openings.pop(flow, None)
-        self._ended.pop(flow, None)
-        self.stop_tracking(flow)
+    def note_returned(self, item: packet.Packet) -> bool:
+        """Drop a flow whose packet the server has returned.
+
+        :returns: False if the packet is of another flow from the same port.
+        """
+        self._unanswered_openings.pop(item.flow, None)
+        if not item.opening and not self.may_include(
+            item.flow, item.acknowledged
+        ):
+            return False
+        self._ended.pop(item.flow, None)
+        self.stop_tracking(item.flow)
+        return True
 
     def server_restarted(self) -> None:
         """Mark all flows as unconfirmed, since the server has restarted.
@@ -393,12 +468,16 @@
         ]
         for flow in stale:
             self.stop_tracking(flow)
-        for recent_flows in (self._ended, self._not_held):
-            while recent_flows:
-                flow, since = next(iter(recent_flows.items()))
-                if now - since < ENDED_FLOW_TTL_S:
-                    break
-                del recent_flows[flow]
+        while self._ended:
+            flow, ended = next(iter(self._ended.items()))
+            if now - ended.at < ENDED_FLOW_TTL_S:
+                break
+            del self._ended[flow]
+        while self._not_held:
+            flow, since = next(iter(self._not_held.items()))
+            if now - since < ENDED_FLOW_TTL_S:
+                break
+            del self._not_held[flow]
         held = itertools.chain(self._flows, self._ended)
         self._addresses = {
             flows.packed_service_endpoint(flow) for flow in held
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
 import random
 import time
@@ -24,6 +25,9 @@
 _REPEATS_S = (0.0, 0.2, 0.6, 1.4)
 _DEADLINE_S = 3.0
 _TRIES = 3
+#: Seconds for which a port rests after use. The port that has been unused
+#: longest comes first, so that each caller uses few ports.
+_PORT_REST_S = 2.0
 
 
 class Fabric:
@@ -77,20 +81,35 @@
 
     :ivar at: steady clock, in seconds.
     :ivar opened: whether the flow was open.
+    :ivar holder: host of the server that held it; None if none did, or if that
+        server had been disturbed shortly before.
     """
 
     at: float
     flow: network.Flow
     opened: bool
+    holder: str | None
+
+
+FindHolder = typing.Callable[[network.Flow, int], str | None]
 
 
 class Caller:
     """A caller with one address and many flows."""
 
     def __init__(
-        self, number: int, fabric: Fabric, randomness: random.Random
+        self,
+        number: int,
+        fabric: Fabric,
+        randomness: random.Random,
+        *,
+        find_holder: FindHolder,
     ) -> None:
-        """Create a caller; :meth:`start` opens its port."""
+        """Create a caller; :meth:`start` opens its port.
+
+        :param find_holder: returns the host of the undisturbed server that
+            holds a flow, given the flow and the server's initial number.
+        """
         self.address = network.host(3, number)
         self.requests: list[Request] = []
         self.resets: list[Reset] = []
@@ -98,7 +117,11 @@
         self.random = randomness
         self._packed_address = bytes(map(int, self.address.split('.')))
         self._fabric = fabric
-        self._ports = itertools.count(1025)
+        self._find_holder = find_holder
+        self._new_ports = itertools.count(1025)
+        self._free_ports: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self._port: network.Port | None = None
 
     async def start(self) -> None:
@@ -113,8 +136,29 @@
             self._port.close()
 
     def new_flow(self, port: int) -> network.Flow:
-        """Return an unused flow."""
-        return network.Flow(self._packed_address, next(self._ports), port)
+        """Return a flow from the port that has been unused longest."""
+        number = self._take_port()
+        return network.Flow(self._packed_address, number, port)
+
+    def _take_port(self) -> int:
+        if self._free_ports:
+            released_at, number = self._free_ports[0]
+            if time.monotonic() - released_at >= _PORT_REST_S:
+                self._free_ports.popleft()
+                return number
+        return next(self._new_ports)
+
+    def release(self, flow: network.Flow) -> None:
+        """Let a later flow use the port of a flow that has ended."""
+        self.flows.pop(flow, None)
+        self._free_ports.append((time.monotonic(), flow.caller_port))
+
+    def note_reset(self, request: Request) -> None:
+        """Record that the current flow of a request was reset."""
+        holder = self._find_holder(request.flow, request.server_sequence)
+        self.resets.append(
+            Reset(time.monotonic(), request.flow, request.opened, holder)
+        )
 
     def send(self, flow: network.Flow, flags: int, **fields) -> None:
         """Send a packet through the fabric, which may lose it."""
@@ -140,11 +184,9 @@
         for _ in range(times):
             await request.run()
             if not request.opened:
-                return
+                break
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
-        self.send(
-            request.flow, network.FIN, acknowledged=request.server_sequence
-        )
+        request.finish()
 
 
 class Request:
@@ -164,7 +206,7 @@
         self.caller = caller
         self.port = port
         self.non_idempotent = non_idempotent
-        self.flow = caller.new_flow(port)
+        self.flow: network.Flow | None = None
         self.opened = False
         self.server_sequence = 0
         self.answered = 0
@@ -211,12 +253,20 @@
         return self._done
 
     async def _open(self) -> bool:
+        if self.flow is not None:
+            self.caller.release(self.flow)
         self.flow = self.caller.new_flow(self.port)
         self.caller.flows[self.flow] = self
+        self._sequence = self.caller.random.randrange(1 << 32)
         self._reset = False
         last = 0.0
         for number, at in enumerate((*_OPENING_COPIES_S, _OPENING_S)):
-            self.caller.send(self.flow, network.SYN, acknowledged=number)
+            self.caller.send(
+                self.flow,
+                network.SYN,
+                sequence=self._sequence,
+                acknowledged=number,
+            )
             if await self._wait(at - last):
                 break
             last = at
@@ -224,6 +274,19 @@
             self.refused_ids.append(self._body)
         return self.opened
 
+    def finish(self) -> None:
+        """Close the flow if it is open, and release its port."""
+        if self.flow is None:
+            return
+        if self.opened:
+            self.caller.send(
+                self.flow,
+                network.FIN,
+                sequence=self._sequence + 1,
+                acknowledged=self.server_sequence,
+            )
+        self.caller.release(self.flow)
+
     async def _wait(self, seconds: float) -> bool:
         self._event.clear()
         try:
@@ -237,9 +300,7 @@
         if packet.flow != self.flow:
             return
         if packet.flags & network.RST:
-            self.caller.resets.append(
-                Reset(time.monotonic(), packet.flow, self.opened)
-            )
+            self.caller.note_reset(self)
             self._reset = True
             self._event.set()
         elif packet.flags & network.SYN and not self.opened:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,9 +11,6 @@
 #: Seconds after which a leaving server gets no new flow and a configuration is
 #: in force (bounds that the platform sets).
 PROPAGATION_S = 3.0
-#: Seconds without a fault of a process or the store after which the bounds
-#: hold (the platform's limit for "in touch").
-UNDISTURBED_S = 4.0
 #: Seconds by which an outage of the store may extend a bound.
 OUTAGE_ALLOWANCE_S = 12.0
 #: Share of requests that must be answered: those that fail in the quiet time
@@ -53,16 +50,10 @@
 def _broken_flows(finished: world.World) -> typing.Iterator[str]:
     for caller in finished.callers:
         for reset in caller.resets:
-            holder = [
-                server
-                for server in finished.servers
-                if reset.flow in server.flows
-                and reset.at - server.disturbed_at > UNDISTURBED_S
-            ]
-            if reset.opened and holder:
+            if reset.opened and reset.holder is not None:
                 yield (
                     f'broken flow: {reset.flow} was reset at '
-                    f'{reset.at:.3f}, held by {holder[0].host}'
+                    f'{reset.at:.3f}, held by {reset.holder}'
                 )
 
 
@@ -76,7 +67,7 @@
         since = opening.leaving_since
         bound = (
             PROPAGATION_S
-            if at - store_disturbed_at > UNDISTURBED_S
+            if at - store_disturbed_at > servers.UNDISTURBED_S
             else PROPAGATION_S + OUTAGE_ALLOWANCE_S
         )
         if since is not None and at - since > bound:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -18,6 +18,8 @@
 NON_IDEMPOTENT = b'G'
 #: Bytes of the id of a request, after the first byte.
 ID_BYTES = 8
+#: Seconds after a disturbance of a server for which its flows may be reset.
+UNDISTURBED_S = 4.0
 #: Seconds until a closed port can be bound again.
 _CLOSE_S = 0.05
 #: Unix milliseconds; the start time of each incarnation is larger than that
@@ -90,6 +92,10 @@
         self._port: network.Port | None = None
         self._done: set[tuple[network.Flow, int]] = set()
         self._sent: collections.Counter[network.Flow] = collections.Counter()
+        # Initial number of each flow's caller, and the flows whose caller has
+        # acknowledged the acceptance.
+        self._caller_numbers: dict[network.Flow, int] = {}
+        self._opened: set[network.Flow] = set()
 
     @property
     def key(self) -> str:
@@ -147,6 +153,16 @@
         """Write that the server is leaving."""
         self.draining_since = self._register(leaving=True)
 
+    def holds_undisturbed(self, flow: network.Flow, number: int) -> bool:
+        """Return whether a flow must not be reset.
+
+        :param number: the server's initial sequence number, which tells the
+            flow from others of the same port.
+        """
+        if self.silent or self.flows.get(flow) != number:
+            return False
+        return time.monotonic() - self.disturbed_at > UNDISTURBED_S
+
     def crash(self, *, remove_entry: bool) -> None:
         """Close the port and drop all flows.
 
@@ -156,6 +172,7 @@
             self._port.close()
         self._port = None
         self.flows.clear()
+        self._opened.clear()
         self._done.clear()
         self.disturbed_at = time.monotonic()
         if remove_entry:
@@ -179,13 +196,27 @@
         elif packet.flags & (network.RST | network.FIN):
             del self.flows[packet.flow]
         elif packet.body and packet.acknowledged != self.flows[packet.flow]:
-            # The caller accepted the SYN-ACK of another server.
-            del self.flows[packet.flow]
-            self._bounce(raw)
+            self._on_foreign_number(packet, raw)
         elif packet.body:
+            self._opened.add(packet.flow)
             self._run_request(packet)
 
+    def _on_foreign_number(self, packet: network.Packet, raw: bytes) -> None:
+        """Handle a packet that acknowledges another server's number."""
+        if packet.flow in self._opened:
+            # A late packet of a former flow from the same port.
+            return
+        # The caller accepted the SYN-ACK of another server.
+        del self.flows[packet.flow]
+        self._bounce(raw)
+
     def _accept_flow(self, packet: network.Packet) -> None:
+        if self._caller_numbers.get(packet.flow) != packet.sequence:
+            # The caller may use the port of a former flow again.
+            self.flows.pop(packet.flow, None)
+            self._opened.discard(packet.flow)
+            self._sent.pop(packet.flow, None)
+            self._caller_numbers[packet.flow] = packet.sequence
         self._journal.openings.append(
             Opening(
                 time.monotonic(),
--- a/soak/world.py
+++ b/soak/world.py
@@ -95,13 +95,24 @@
         )
         self.burst = 1.0
         self.callers = [
-            callers.Caller(number + 1, self.fabric, self._random)
+            callers.Caller(
+                number + 1,
+                self.fabric,
+                self._random,
+                find_holder=self._find_holder,
+            )
             for number in range(8)
         ]
         self.faults = faults.Faults(self, self._random)
         self.quiet_from = 0.0
         self._ending = False
 
+    def _find_holder(self, flow: network.Flow, number: int) -> str | None:
+        for server in self.servers:
+            if server.holds_undisturbed(flow, number):
+                return server.host
+        return None
+
     def configure(self) -> None:
         """Publish a version that adds a route and may remove the oldest."""
         self._version += self._random.randrange(1, 4)
--- a/tests/packets/test_handing_on.py
+++ b/tests/packets/test_handing_on.py
@@ -37,19 +37,31 @@
     """Check that no open flow was reset, and that no order ran twice."""
     assert not world.broken()
     runs: collections.Counter[int] = collections.Counter()
-    places: collections.defaultdict[bytes, set[str]] = collections.defaultdict(
-        set
-    )
+    places: collections.defaultdict[tuple[int, bytes], set[str]]
+    places = collections.defaultdict(set)
     for server in world.servers.values():
-        for _, flow, _ in server.ran:
-            places[flow].add(server.host)
-            order = world._flows[flow]
+        for _, flow, sequence in server.ran:
+            order = world.asked[flow, sequence]
+            places[id(order), flow].add(server.host)
             if not order.feed:
                 runs[id(order)] += 1
     assert all(count == 1 for count in runs.values())
     assert all(len(hosts) == 1 for hosts in places.values())
 
 
+def opening_copy(request: packet_caller.Request, copy: int) -> bytes:
+    """Return the bytes of a copy of a request's opening.
+
+    :param copy: number of copies that the caller sent before it.
+    """
+    return packet_codec.make_packet(
+        request.flow,
+        opening=True,
+        sequence=request.initial_sequence,
+        acknowledged=copy,
+    ).raw
+
+
 def hand_off_of(world: packet_world.World, host: str) -> handing_on.HandOff:
     """Return the hand-off of the agent on a host."""
     return world.processes[host].node._hand_off
@@ -385,9 +397,7 @@
     order = scene.order()
     world.run(0.1)
     scene.notify(FIRST, THIRD)
-    raw = packet_codec.make_packet(
-        order.flow, opening=True, acknowledged=1
-    ).raw
+    raw = opening_copy(order, 1)
     world.send_datagram(
         world.seeds[0], FIRST, control.pack(control.KIND_PACKET, 0, TAG, raw)
     )
@@ -406,7 +416,7 @@
     """
     world = scene.world
     order = scene.order()
-    raw = packet_codec.make_packet(order.flow, opening=True).raw
+    raw = opening_copy(order, 0)
     packed = control.pack(control.KIND_PACKET, 0, TAG, raw)
     world.run(0.02)
     world.send_datagram(world.seeds[0], FIRST, packed)
@@ -435,7 +445,7 @@
     )
     scene.make_busy(FIRST)
     scene.notify(FIRST, SECOND)
-    raw = packet_codec.make_packet(order.flow, opening=True).raw
+    raw = opening_copy(order, 0)
     world.send_datagram(
         world.seeds[0], FIRST, control.pack(control.KIND_PACKET, 0, TAG, raw)
     )
@@ -458,7 +468,7 @@
     world.run(handing_on.DECISION_TTL_S + 1.0)
     scene.make_busy(FIRST)
     scene.notify(FIRST, SECOND)
-    raw = packet_codec.make_packet(feed.flow, opening=True).raw
+    raw = opening_copy(feed, 0)
     world.send_datagram(
         world.seeds[0], FIRST, control.pack(control.KIND_PACKET, 0, TAG, raw)
     )
@@ -526,9 +536,7 @@
     world.servers[FIRST].silent = not accepts
 
     def send(copy: int) -> None:
-        raw = packet_codec.make_packet(
-            order.flow, opening=True, acknowledged=copy
-        ).raw
+        raw = opening_copy(order, copy)
         packed = control.pack(control.KIND_PACKET, 0, TAG, raw)
         world.send_datagram(world.seeds[0], FIRST, packed)
         world.run(0.02)
@@ -579,7 +587,9 @@
     world = scene.world
     node = world.processes[world.seeds[0]].node
     flow = bytes(range(12))
-    hint = node._hints.add(flow, 'dispatch', hints.HintState(state))
+    hint = node._hints.add(
+        flow, 'dispatch', hints.HintState(state), now=world.now
+    )
     hint.host = THIRD
     moved = control.pack_moved(control.MovedResult.TAKEN, TAG, flow)
     node.on_datagram(moved, SECOND, world.now)
@@ -1081,7 +1091,8 @@
     policy = handing_on.HandOnPolicy(known)
     for number in range(2 * handing_on.MAX_DECISIONS):
         known.add(f'10.0.{number >> 8}.{number & 255}', FREE, slots=1, now=1.0)
-        policy.note_kept(number.to_bytes(12, 'big'), 1.0)
+        flow = number.to_bytes(12, 'big')
+        policy.note_kept(packet_codec.make_packet(flow, opening=True), 1.0)
     assert len(known) == handing_on.MAX_NOTICES
     assert policy.decision(bytes(12), 1.0) is None
     assert len(policy._decisions) == handing_on.MAX_DECISIONS
--- a/tests/packets/test_relaying.py
+++ b/tests/packets/test_relaying.py
@@ -46,7 +46,8 @@
     sent = control.unpack(
         control.pack_relay_request(control.RelayRequest(HOSTS, raw))
     )
-    relay.begin(control.read_relay_request(sent), FLOW, REQUESTER, 0.0)
+    request = control.read_relay_request(sent)
+    relay.begin(request, FLOW, REQUESTER, 0.0, acknowledged=0)
     return relay, sender
 
 
@@ -143,7 +144,8 @@
     relay = relaying.Relay(sender.send, reporting.Meters())
     for number in range(relaying.MAX_SEARCHES + 1):
         request = control.RelayRequest(HOSTS[:1], b'raw')
-        relay.begin(request, number.to_bytes(12), REQUESTER, 0.0)
+        flow = number.to_bytes(12)
+        relay.begin(request, flow, REQUESTER, 0.0, acknowledged=0)
     sender.sent.clear()
     located = control.Located(bytes(12), LAYOUT)
     packed = control.pack_located(searching.LocateResult.HELD, TAG, located)
