Test that a flow stays held after 16 MiB, and tell of its reset

Cause: an agent took a packet for one of another server's flow if it acknowledged a number 16 MiB or more beyond the initial number of its own server.

--- a/tests/packets/test_tracking.py
+++ b/tests/packets/test_tracking.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from teaseldock.packets import packet
 from teaseldock.packets import tracking
 
@@ -173,3 +175,38 @@
     tracker.from_server(make_packet(length=500, sequence=801), 1.1)
     tracker.from_server(make_packet(accepting=True, sequence=800), 1.2)
     assert tracker.holds(FLOW)
+
+
+@pytest.mark.parametrize('mebibytes', [1, 15, 17, 600, 2100, 5000])
+def test_a_flow_stays_held_however_much_was_sent(mebibytes: int) -> None:
+    """Guards against a reset of a flow over which a server has sent 16 MiB."""
+    tracker = tracking.Tracker(0.0)
+    start = (1 << 32) - 5_000_000
+    tracker.from_caller(make_packet(opening=True), 0.0)
+    tracker.from_server(make_packet(accepting=True, sequence=start), 0.0)
+    sent = start + 1
+    for number in range(mebibytes):
+        item = make_packet(length=1 << 20, sequence=sent % (1 << 32))
+        tracker.from_server(item, number / 100)
+        sent += 1 << 20
+        for delayed in (0, 19_200):
+            number_seen = (sent - delayed) % (1 << 32)
+            assert tracker.belongs(make_packet(acknowledged=number_seen))
+    assert tracker.holds(FLOW)
+
+
+@pytest.mark.parametrize('mebibytes', [1, 17, 600])
+def test_another_servers_number_belongs_to_no_flow_here(
+    mebibytes: int,
+) -> None:
+    """Guards against a server that gets the packets of another one's flow."""
+    tracker = tracking.Tracker(0.0)
+    tracker.from_caller(make_packet(opening=True), 0.0)
+    tracker.from_server(make_packet(accepting=True, sequence=5000), 0.0)
+    for number in range(mebibytes):
+        tracker.from_server(
+            make_packet(length=1 << 20, sequence=5001 + (number << 20)), 1.0
+        )
+    for foreign in (4999, 5001 + (mebibytes << 20) + (1 << 24), 1 << 31):
+        assert not tracker.belongs(make_packet(acknowledged=foreign))
+        assert not tracker.may_include(FLOW, foreign)
