Ask for flows at servers whose service was taken out

Cause: a balancer that starts knows such a server from its agent only, and an agent that started after the change reported to four balancers, never to all. The entry is in the store, but entries of unknown services were left out, since another writer may have left them. Ruled out: the agents' answers; those of the service taken out were not asked.

Change: a balancer queries the hosts of entries of unknown services at first sight and asks those that answer for flows; until the answers are in (0.3 s) it asks all of them. An agent whose service is not configured reports to all.

--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -132,11 +132,14 @@
 
         Balancers query the servers that have an entry and those that a route
         names. They depend on this agent's heartbeats if the server's entry
-        expired during a store outage, or if the server holds flows of a route
-        that now names another service.
+        expired during a store outage, if the operator has taken its service
+        out, or if the server holds flows of a route that now names another
+        service.
         """
-        if self._server_run is not None and self._own_target is None:
-            return True
+        if self._own_target is None and self._knowledge.usable:
+            known = self._knowledge.is_configured(self._service)
+            if self._server_run is not None or not known:
+                return True
         return bool(self._holdings(now).moved)
 
     def _server_load(self, now: float) -> load.Load:
--- a/packages/teaseldock/teaseldock/packets/balancer.py
+++ b/packages/teaseldock/teaseldock/packets/balancer.py
@@ -36,6 +36,8 @@
 #: whether it is cut off.
 SILENCE_S = 0.5
 AGENTS_QUERIED_ON_SILENCE = 3
+#: Maximum number of hosts of unknown services that are queried at a change.
+MAX_UNNAMED_QUERIED = 100
 _SHARE_KEY = b'teaseldock-share'
 
 
@@ -85,6 +87,7 @@
             meters=self._meters,
         )
         self._removed: set[tuple[str, int]] = set()
+        self._unnamed: set[str] = set()
         self._agent_heard_at = 0.0
         self._silence_query_at = 0.0
         self._early_packets: collections.deque[tuple[packet.Packet, float]] = (
@@ -130,6 +133,7 @@
     def _on_store_change(self, now: float) -> None:
         self._targets.refresh(now)
         self._query_removed_targets(now)
+        self._query_unnamed_hosts(now)
         self._process_early(now)
 
     def _query_removed_targets(self, now: float) -> None:
@@ -147,6 +151,18 @@
             self._query_load(removed[run], now, detail=0)
         self._removed = set(removed)
 
+    def _query_unnamed_hosts(self, now: float) -> None:
+        """Query the hosts whose service has just become unknown.
+
+        Flows may be open at a server whose service the operator has taken out.
+        Its agent answers, unlike the address of another writer's entry.
+        """
+        unnamed = self._knowledge.unnamed_hosts
+        new = sorted(unnamed - self._unnamed)
+        for host in new[:MAX_UNNAMED_QUERIED]:
+            self._query_load(host, now, detail=0)
+        self._unnamed = set(unnamed)
+
     def _query_load(
         self, host: str, now: float, *, detail: int = control.SHORT_REPORT
     ) -> None:
--- a/packages/teaseldock/teaseldock/packets/candidates.py
+++ b/packages/teaseldock/teaseldock/packets/candidates.py
@@ -34,6 +34,13 @@
 #: itself.
 REMOVAL_GRACE_S = 0.5
 
+#: Seconds after a host was first seen in the entry of an unknown service for
+#: which it may hold flows though its agent was never heard. The agent is
+#: queried at once; at the address of another writer's entry nobody answers.
+UNNAMED_GRACE_S = 0.3
+#: Seconds for which an agent may be silent while it restarts.
+AGENT_RESTART_S = 10.0
+
 #: See :attr:`teaseldock.packets.records.Target.run`.
 Run = tuple[str, int]
 
@@ -71,6 +78,9 @@
         self._placed: dict[Run, collections.deque[float]] = {}
         self._warm_at: dict[Run, _WarmTime] = {}
         self._suspected: dict[str, float] = {}
+        # Times at which the hosts of entries of unknown services were first
+        # seen.
+        self._unnamed_since: dict[str, float] = {}
         # The targets that may get new flows, and all that may hold existing
         # ones.
         self._placeable_orders = ranking.RankingCache()
@@ -80,6 +90,10 @@
         """Apply changed entries."""
         self._placeable_orders.clear()
         self._holder_orders.clear()
+        self._unnamed_since = {
+            host: self._unnamed_since.get(host, now)
+            for host in self._knowledge.unnamed_hosts
+        }
         targets = {item.run: item for item in self._knowledge.targets.values()}
         for run, target in targets.items():
             known = self._warm_at.get(run)
@@ -317,8 +331,23 @@
             and peer.heard_within(mesh.REPORT_VALID_S, now)
             and not (peer.leaving(now) and peer.host in departed)
         ]
+        hosts += [
+            host
+            for host, since in self._unnamed_since.items()
+            if host not in departed and self._may_serve(host, since, now)
+        ]
         return hosts
 
+    def _may_serve(self, host: str, since: float, now: float) -> bool:
+        """Return whether a host in an entry of an unknown service has flows.
+
+        :param since: time at which it was first seen in such an entry.
+        """
+        if now - since < UNNAMED_GRACE_S:
+            return True
+        peer = self._mesh.peers.get(host)
+        return peer is not None and peer.heard_within(AGENT_RESTART_S, now)
+
     def is_behind(self, reported: int, now: float) -> bool:
         """Tell whether others hold targets that this balancer lacks.
 
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -41,6 +41,7 @@
         # services, as modified by newer alerts.
         self._entries: dict[str, records.Target] = {}
         self._registry = registry.Registry()
+        self._unnamed_hosts: set[str] = set()
         self._departures = departures.Departures()
         self._evacuations = evacuations.Evacuations()
         self._alerts = alert_logs.AlertLog()
@@ -155,6 +156,19 @@
         """Return identifiers of entries whose service is not configured."""
         return self._entries.keys() - self.targets.keys()
 
+    @property
+    def unnamed_hosts(self) -> set[str]:
+        """Return the hosts of the entries whose service is not configured.
+
+        The operator may have taken the service out while flows are open there.
+        """
+        return self._unnamed_hosts
+
+    def is_configured(self, service: str) -> bool:
+        """Return whether the configuration lists a service."""
+        configuration = self._table.configuration
+        return configuration is not None and service in configuration.services
+
     def route(self, address: bytes) -> records.Route | None:
         """Return the route of a packed address and port, or None."""
         return self._table.route(address)
@@ -497,6 +511,11 @@
             if named is None or target.service in named
         ]
         self._registry = registry.Registry(targets, self.evacuated)
+        self._unnamed_hosts = {
+            target.host
+            for target in self._entries.values()
+            if named is not None and target.service not in named
+        }
         self._removed.prune(now)
         runs = {item.run for item in self._entries.values()}
         self._departures.retain_only(runs | self._removed.runs)
--- a/tests/packets/test_moved_routes.py
+++ b/tests/packets/test_moved_routes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench import packet_caller
 from bench import packet_codec
 from bench import packet_world
 from teaseldock.packets import records
@@ -15,14 +16,14 @@
 
 
 def two_services(
-    *choices: tuple[str, int], others: int = 0
+    *choices: tuple[str, int], others: int = 0, seed: int = 1
 ) -> packet_world.World:
     """Return a world with two services of four servers each, and others.
 
     :param choices: services and weights of the one busy route.
     :param others: servers of a third service, which gets no requests.
     """
-    world = packet_world.World()
+    world = packet_world.World(seed=seed)
     world.store.configure(1, routes(*choices))
     for index, service in enumerate(SERVICES, 1):
         for number in range(1, 5):
@@ -197,3 +198,68 @@
         process.node.meters.counters['ports_reused']
         for process in world.balancers()
     )
+
+
+def ask_often(
+    world: packet_world.World,
+    feeds: list[packet_caller.Request],
+    seconds: float,
+) -> None:
+    """Let the feeds go on sending requests, four each second."""
+    for _ in range(round(4 * seconds)):
+        for feed in feeds:
+            if feed.outcome:
+                feed.ask()
+        world.run(0.25)
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('all_agents', [False, True])
+def test_flows_outlive_a_service_that_is_no_longer_configured(
+    seed: int, all_agents: bool
+) -> None:
+    """Guards against resets of flows at servers that no service names.
+
+    Their agents restart after the change, then each balancer does.
+    """
+    world = two_services(('board', 100), seed=seed)
+    feeds = serve_feeds(world, 40)
+    world.store.configure(
+        2,
+        [
+            packet_world.route('printer'),
+            packet_world.route('printer', port=2),
+        ],
+    )
+    ask_often(world, feeds, 3.0)
+    agents = [
+        host
+        for host, server in world.servers.items()
+        if all_agents or server.service == 'board'
+    ]
+    for host in [*agents, *(item.host for item in world.balancers())]:
+        world.processes[host].node.leave(world.now)
+        ask_often(world, feeds, 1.25)
+        world.kill(host)
+        ask_often(world, feeds, 0.75)
+        world.start(host)
+        ask_often(world, feeds, 0.5)
+    world.run(2.0)
+    assert not world.broken()
+    assert not any(feed.resets for feed in feeds)
+    assert all(feed.outcome == 'answered' for feed in feeds)
+
+
+def test_entries_of_unknown_services_delay_no_reset() -> None:
+    """Guards against searches that wait for hosts which never answer."""
+    world = two_services(('board', 100))
+    feeds = serve_feeds(world, 20)
+    restart_balancers(world)
+    assert world.balancers()[0].node.knowledge.entries_of_unknown_services
+    for server in world.servers.values():
+        for feed in feeds:
+            server.discard(feed.flow)
+    ask_all(world, feeds, 0.5)
+    took_ms = [line['took_ms'] for line in world.events('flow lost')]
+    assert len(took_ms) == 20
+    assert max(took_ms) < 60
