Let agents name the hosts whose entries were overwritten

Cause: a process that starts can't know the host of an overwritten entry; the other agents knew it and said only that they don't hold the flow.

Change: an answer other than "held" names the hosts of entries that were overwritten in the last 20 s. The balancer asks them too before its verdict.

--- a/packages/teaseldock/teaseldock/packets/agent.py
+++ b/packages/teaseldock/teaseldock/packets/agent.py
@@ -74,6 +74,7 @@
             self._tracker,
             self._tag,
             layout_revision=lambda: self._knowledge.layout_revision,
+            other_hosts=self._knowledge.overwritten_hosts,
             send=self._send_search,
         )
         self._relay = relaying.Relay(self._send_search, self._meters)
@@ -286,7 +287,7 @@
             self._on_caller_packet(envelope, host, now)
         elif envelope.kind == control.KIND_LOCATE:
             self._responder.on_locate(
-                envelope, host, all_flows_seen=self._all_flows_seen(now)
+                envelope, host, now, all_flows_seen=self._all_flows_seen(now)
             )
         elif envelope.kind == control.KIND_PROBE:
             self._on_probe(envelope, host, now)
--- a/packages/teaseldock/teaseldock/packets/control.py
+++ b/packages/teaseldock/teaseldock/packets/control.py
@@ -41,8 +41,9 @@
 KIND_LOCATE = 5
 NUMBERED = 1
 #: Answers KIND_LOCATE with the flow's key; the detail is a LocateResult. The
-#: answer to a numbered query ends with its number.
+#: answer to a numbered query ends with its number, and hosts to ask besides.
 KIND_LOCATED = 6
+MAX_OTHER_HOSTS = 8
 #: Like KIND_LOCATE, but with a packet of the flow. It is for an agent that has
 #: run too briefly to know; the agent gives the packet to its server.
 KIND_PROBE = 7
@@ -52,7 +53,7 @@
 #: Reports the result of KIND_RELAY: the flow's key and the hosts that the
 #: result applies to; the detail is a LocateResult. The tag is that of the
 #: service if the flow is held; else the number that the caller acknowledges, 0
-#: if it isn't told.
+#: if it isn't told. With UNSURE, the hosts are others to ask.
 KIND_RELAYED = 9
 #: Asks an agent for the load of its server. KIND_LOAD answers detail
 #: SHORT_REPORT, a heartbeat any other; agents of earlier versions answer every
@@ -235,11 +236,15 @@
         locations of flows that the agent holds, see :class:`Heartbeat`.
     :ivar acknowledged: number in the query that it answers, None if there was
         none.
+    :ivar other_hosts: instances that may hold the flow although no entry can
+        tell the balancer; at most :data:`MAX_OTHER_HOSTS`. Only told with a
+        number.
     """
 
     flow: bytes
     layout_revision: int
     acknowledged: int | None = None
+    other_hosts: tuple[str, ...] = ()
 
 
 class RelayResult(typing.NamedTuple):
@@ -268,7 +273,7 @@
     raw: bytes
 
 
-def pack_hosts(hosts: list[str]) -> bytes:
+def pack_hosts(hosts: typing.Sequence[str]) -> bytes:
     """Encode IPv4 addresses as four bytes each."""
     return b''.join(bytes(map(int, host.split('.'))) for host in hosts)
 
@@ -324,6 +329,7 @@
     body = answer.flow + _REVISION.pack(answer.layout_revision)
     if answer.acknowledged is not None:
         body += _NUMBER.pack(answer.acknowledged)
+        body += pack_hosts(answer.other_hosts[:MAX_OTHER_HOSTS])
     return pack(KIND_LOCATED, holding, tag, body)
 
 
@@ -333,18 +339,21 @@
     :raises MessageError: if the bytes are malformed.
     """
     end = _FLOW_BYTES + _REVISION.size
-    number = body[end:]
-    if len(body) < end or len(number) not in (0, _NUMBER.size):
+    rest = body[end:]
+    if len(body) < end or len(rest) % _HOST_BYTES:
         raise exceptions.MessageError(
             'located',
-            f'{len(body)} bytes are not a flow key, a revision and a number',
+            f'{len(body)} bytes are not a flow key, a revision, a number and'
+            ' hosts',
             remedy='run one version on all processes; the message was dropped',
         )
-    return Located(
-        body[:_FLOW_BYTES],
-        read_revision(body[_FLOW_BYTES:end]),
-        _NUMBER.unpack(number)[0] if number else None,
-    )
+    flow = body[:_FLOW_BYTES]
+    layout_revision = read_revision(body[_FLOW_BYTES:end])
+    if not rest:
+        return Located(flow, layout_revision)
+    number = _NUMBER.unpack_from(rest)[0]
+    hosts = read_hosts(rest[_NUMBER.size :])
+    return Located(flow, layout_revision, number, tuple(hosts))
 
 
 def relayed_number(result: Envelope) -> int | None:
--- a/packages/teaseldock/teaseldock/packets/knowledge.py
+++ b/packages/teaseldock/teaseldock/packets/knowledge.py
@@ -206,6 +206,15 @@
         """Return the targets whose entries were removed recently."""
         return self._removed.recent(now)
 
+    def overwritten_hosts(self, now: float) -> list[str]:
+        """Return the hosts whose entries were overwritten recently.
+
+        Their servers hold flows, and a process that starts now can't read
+        where they are.
+        """
+        removed = self._removed.recent(now)
+        return sorted({x.target.host for x in removed if not x.expired})
+
     def recently_expired(
         self, service: str, now: float
     ) -> list[records.Target]:
--- a/packages/teaseldock/teaseldock/packets/locate_responder.py
+++ b/packages/teaseldock/teaseldock/packets/locate_responder.py
@@ -42,6 +42,7 @@
         tag: int,
         *,
         layout_revision: typing.Callable[[], int],
+        other_hosts: typing.Callable[[float], list[str]],
         send: Send,
     ) -> None:
         """Create a responder without pending probes.
@@ -49,18 +50,26 @@
         :param tag: tag of the service that the server provides.
         :param layout_revision: returns the newest layout revision that the
             agent has received.
+        :param other_hosts: returns the hosts that may hold a flow although
+            the asking balancer may not know them.
         :param send: sends a datagram of a search to a host.
         """
         self._tracker = tracker
         self._tag = tag
         self._layout_revision = layout_revision
+        self._other_hosts = other_hosts
         self._send = send
         self._probes: collections.OrderedDict[bytes, _Probe] = (
             collections.OrderedDict()
         )
 
     def on_locate(
-        self, query: control.Envelope, host: str, *, all_flows_seen: bool
+        self,
+        query: control.Envelope,
+        host: str,
+        now: float,
+        *,
+        all_flows_seen: bool,
     ) -> None:
         """Answer from the tracked flows.
 
@@ -72,7 +81,7 @@
         flow = query.body
         number = control.read_locate_number(query)
         result = self._lookup(flow, number, all_flows_seen)
-        self.answer(flow, host, result, number)
+        self.answer(flow, host, result, number, now)
 
     def _lookup(
         self, flow: bytes, number: int | None, all_flows_seen: bool
@@ -97,12 +106,13 @@
         number = item.acknowledged
         if not self._tracker.belongs(item):
             result = searching.LocateResult.NOT_HELD
-            self.answer(item.flow, host, result, number)
+            self.answer(item.flow, host, result, number, now)
             return False
         if self._tracker.acknowledges_acceptance(item):
             # The server need not be probed, and the request may be waiting
             # for a slot in the queue.
-            self.answer(item.flow, host, searching.LocateResult.HELD, number)
+            result = searching.LocateResult.HELD
+            self.answer(item.flow, host, result, number, now)
             return False
         self._probes[item.flow] = _Probe(host, number, now)
         self._probes.move_to_end(item.flow)
@@ -132,7 +142,7 @@
         del self._probes[flow]
         if now - probe.at > PROBE_TTL_S:
             return False
-        self.answer(flow, probe.requester, result, probe.acknowledged)
+        self.answer(flow, probe.requester, result, probe.acknowledged, now)
         return True
 
     def answer(
@@ -141,10 +151,16 @@
         host: str,
         result: searching.LocateResult,
         number: int | None,
+        now: float,
     ) -> None:
         """Send an answer to the host that asked.
 
         :param number: number in the query, None if there was none.
         """
-        located = control.Located(flow, self._layout_revision(), number)
+        others: list[str] = []
+        if result != searching.LocateResult.HELD:
+            others = self._other_hosts(now)
+        located = control.Located(
+            flow, self._layout_revision(), number, tuple(others)
+        )
         self._send(host, control.pack_located(result, self._tag, located))
--- a/packages/teaseldock/teaseldock/packets/locating.py
+++ b/packages/teaseldock/teaseldock/packets/locating.py
@@ -145,15 +145,17 @@
         self, answer: control.Envelope, hint: hints.Hint, host: str, now: float
     ) -> None:
         """Handle an agent's answer."""
-        flow, layout_revision, acknowledged = control.read_located(answer.body)
+        located = control.read_located(answer.body)
+        flow = located.flow
         search = hint.search
-        if search is None or not search.is_answered_by(acknowledged):
+        if search is None or not search.is_answered_by(located.acknowledged):
             return
         if answer.detail == searching.LocateResult.HELD:
             self._on_found(flow, hint, host, answer.tag, now)
             return
+        self._add_hosts(located.other_hosts, hint, search, now)
         if answer.detail == searching.LocateResult.NOT_HELD:
-            search.note_denial(host, layout_revision)
+            search.note_denial(host, located.layout_revision)
         else:
             search.note_unsure(host)
         self._query(flow, hint, now)
@@ -174,10 +176,24 @@
             return
         if not search.is_answered_by(control.relayed_number(answer)):
             return
+        if answer.detail == searching.LocateResult.UNSURE:
+            self._add_hosts(result.hosts, hint, search, now)
+            return
         for host in result.hosts:
             search.note_denial(host, result.layout_revision)
         self._query(result.flow, hint, now)
 
+    @staticmethod
+    def _add_hosts(
+        hosts: typing.Iterable[str],
+        hint: hints.Hint,
+        search: searching.Search,
+        now: float,
+    ) -> None:
+        """Ask further hosts that agents have named."""
+        denied = hint.denials(search.probe, now)
+        search.add_hosts([host for host in hosts if host not in denied])
+
     def _on_found(
         self,
         flow: bytes,
--- a/packages/teaseldock/teaseldock/packets/relaying.py
+++ b/packages/teaseldock/teaseldock/packets/relaying.py
@@ -50,6 +50,7 @@
         self.began = now
         self.denied: set[str] = set()
         self.reported: set[str] = set()
+        self.others: set[str] = set()
         self.layout_revision = 0
         self.asked_at = now
         self.attempts = 1
@@ -107,11 +108,17 @@
 
     def on_located(self, answer: control.Envelope, host: str) -> None:
         """Handle another agent's answer."""
-        flow, layout_revision, acknowledged = control.read_located(answer.body)
+        located = control.read_located(answer.body)
+        flow = located.flow
         search = self._searches.get(flow)
-        if search is None or acknowledged not in (None, search.acknowledged):
+        if search is None:
             return
-        search.layout_revision = max(search.layout_revision, layout_revision)
+        if located.acknowledged not in (None, search.acknowledged):
+            return
+        search.layout_revision = max(
+            search.layout_revision, located.layout_revision
+        )
+        self._report_others(search, located)
         if answer.detail == searching.LocateResult.UNSURE:
             self._query(
                 host, control.pack(control.KIND_PROBE, 0, 0, search.raw)
@@ -134,6 +141,24 @@
         elif search.reported:
             self._report_denials(search, flow)
 
+    def _report_others(
+        self, search: _RelayedSearch, located: control.Located
+    ) -> None:
+        """Tell the requester of hosts to ask that it may not know."""
+        others = [
+            host for host in located.other_hosts if host not in search.others
+        ]
+        if not others:
+            return
+        search.others.update(others)
+        self._report(
+            search,
+            located.flow,
+            searching.LocateResult.UNSURE,
+            others,
+            tag=search.acknowledged,
+        )
+
     def _report_denials(self, search: _RelayedSearch, flow: bytes) -> None:
         new_denials = [
             host
--- a/packages/teaseldock/teaseldock/packets/searching.py
+++ b/packages/teaseldock/teaseldock/packets/searching.py
@@ -60,6 +60,7 @@
             likely first.
         """
         self._hosts = hosts
+        self._named_hosts: list[str] = []
         self._asked: set[str] = set()
         self._answered: set[str] = set()
         self._denied: set[str] = set()
@@ -156,8 +157,13 @@
         self._answered.add(host)
 
     def set_hosts(self, hosts: list[str]) -> None:
-        """Replace the hosts that may hold the flow."""
-        self._hosts = hosts
+        """Replace the hosts that may hold the flow, but for named ones."""
+        self._hosts = list(dict.fromkeys(hosts + self._named_hosts))
+
+    def add_hosts(self, hosts: list[str]) -> None:
+        """Add hosts that an agent has named."""
+        self._named_hosts = list(dict.fromkeys(self._named_hosts + hosts))
+        self.set_hosts(self._hosts)
 
     def hosts_to_query(self) -> list[str]:
         """Return the hosts that the balancer has yet to query itself."""
--- a/tests/packets/test_lost_flows.py
+++ b/tests/packets/test_lost_flows.py
@@ -164,6 +164,40 @@
     assert all(feed.outcome == 'answered' for feed in feeds)
 
 
+@pytest.mark.parametrize('servers', [4, 12])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_flows_outlast_a_balancer_that_starts_beside_an_unreadable_entry(
+    seed: int, servers: int
+) -> None:
+    """Guards against resets by a balancer that can't know a server's host.
+
+    It starts while the server's entry can't be read and its agent is down.
+    """
+    world = packet_world.small_world(seed=seed, servers=servers)
+    feeds = serve_feeds(world, 60)
+    server = max(world.servers.values(), key=lambda item: len(item.flows))
+    first = world.balancers()[0].host
+    world.processes[first].node.leave(world.now)
+    world.run(1.2)
+    world.kill(first)
+    world.store.overwrite(server.identifier)
+    world.run(0.9)
+    world.processes[server.host].node.leave(world.now)
+    world.run(0.1)
+    world.kill(server.host)
+    world.start(first)
+    world.run(0.1)
+    send_all_to(world, first)
+    ask_all(world, feeds, 0.3)
+    assert not world.broken()
+    world.start(server.host)
+    world.run(0.3)
+    world.store.put(server)
+    world.run(2.0)
+    assert not world.broken()
+    assert all(feed.outcome == 'answered' for feed in feeds)
+
+
 def test_flows_of_a_server_that_left_are_reset_at_once() -> None:
     """Guards against a search that waits for an agent that left for good."""
     world = packet_world.small_world()
