Keep the verdict on a flow apart from later denials

What callers saw: nothing yet; found while the diff was read. If a packet of the next flow from a port was returned just after the former flow had been declared lost, the denial replaced the verdict's numbers, and the next flow counted as lost. Ruled out for other states: verdicts are only read in LOST.

Change: the verdict has numbers of its own. A caller's reset that bears other numbers than its flow ends the pending request all the same, so that the load of the server isn't overstated.

--- a/packages/teaseldock/teaseldock/packets/hints.py
+++ b/packages/teaseldock/teaseldock/packets/hints.py
@@ -89,6 +89,7 @@
         'search',
         'seen_at',
         '_denials',
+        '_lost',
         'overflowed',
         'overflow_forbidden',
         'opening_sequence',
@@ -106,6 +107,7 @@
         self.search: searching.Search | None = None
         self.seen_at = 0.0
         self._denials: Denials | None = None
+        self._lost: Denials | None = None
         self.overflowed = False
         self.overflow_forbidden = False
         self.opening_sequence = 0
@@ -141,7 +143,7 @@
     def declare_lost(self, item: packet.Packet, now: float) -> None:
         """Record that no host holds the flow of a packet."""
         self.state = HintState.LOST
-        self._denials = Denials(item, now)
+        self._lost = Denials(item, now)
 
     def is_lost(self, item: packet.Packet, now: float) -> bool:
         """Return whether no host holds the flow of a packet.
@@ -150,8 +152,8 @@
         """
         return (
             self.state is HintState.LOST
-            and self._denials is not None
-            and self._denials.cover(item, now)
+            and self._lost is not None
+            and self._lost.cover(item, now)
         )
 
     def precedes(self, opening: packet.Packet, now: float) -> bool:
--- a/packages/teaseldock/teaseldock/packets/tracking.py
+++ b/packages/teaseldock/teaseldock/packets/tracking.py
@@ -293,6 +293,8 @@
         if item.resetting:
             if self.may_include(item.flow, item.acknowledged):
                 self.stop_tracking(item.flow)
+            else:
+                self._drop_request(item.flow)
             return None
         tracked = self._flows.get(item.flow)
         if tracked is None:
@@ -452,8 +454,13 @@
 
     def stop_tracking(self, flow: bytes) -> None:
         """Stop tracking a flow."""
-        tracked = self._flows.pop(flow, None)
+        self._drop_request(flow)
+        self._flows.pop(flow, None)
+
+    def _drop_request(self, flow: bytes) -> None:
+        tracked = self._flows.get(flow)
         if tracked is not None and tracked.asked_at is not None:
+            tracked.asked_at = None
             self._pending_requests -= 1
 
     def sweep(self, now: float, *, idle_s: float) -> None:
--- a/tests/packets/test_ports_used_again.py
+++ b/tests/packets/test_ports_used_again.py
@@ -149,6 +149,38 @@
     assert not world.resets
 
 
+def test_a_late_verdict_does_not_condemn_a_returned_packet() -> None:
+    """Guards against a reset of a flow whose packet is returned just then.
+
+    The former flow from its port has been declared lost a moment before.
+    """
+    world = packet_world.small_world(servers=1)
+    [host] = world.servers
+    node = world.processes[FIRST].node
+    send_all_to(world, SECOND)
+    [feed] = serve_feeds(world, 1)
+    hint = node._hints.add(
+        feed.flow, 'dispatch', hints.HintState.HINTED, now=world.now
+    )
+    hint.declare_lost(
+        packet_codec.make_packet(feed.flow, length=1, acknowledged=7),
+        world.now,
+    )
+    returned = packet_codec.make_packet(
+        feed.flow,
+        length=1,
+        sequence=feed.sequence + 1,
+        acknowledged=feed.server_sequence,
+    )
+    envelope = control.pack(
+        control.KIND_RETURNED, control.ReturnReason.NOT_HELD, 0, returned.raw
+    )
+    node.on_datagram(envelope, '10.0.9.9', world.now)
+    world.run(0.2)
+    assert hint.host == host
+    assert not world.resets
+
+
 def test_a_search_does_not_outlive_its_flow() -> None:
     """Guards against the late verdict of a search that an opening has ended.
 
